--- /dev/null
+++ b/crates/lavenderhatch-core/src/blackboard/board.rs
@@ -0,0 +1,51 @@
+//! The sections of a daemon's blackboard.
+
+use super::section::{SectionReader, SectionWriter, section};
+use crate::audit::AuditLog;
+use crate::claims::ClaimsView;
+use crate::config::ConfigSnapshot;
+use crate::drain::Drains;
+use crate::endpoint::Endpoints;
+use crate::load::LoadView;
+use crate::member::Members;
+
+macro_rules! board {
+    ($($(#[$doc:meta])* $field:ident: $kind:ty,)*) => {
+        /// Readers of all sections.
+        #[derive(Clone, Debug)]
+        pub struct Blackboard {
+            $($(#[$doc])* pub $field: SectionReader<$kind>,)*
+        }
+
+        /// The writer of each section. Each is moved into the one controller that owns it.
+        pub struct Writers {
+            $($(#[$doc])* pub $field: SectionWriter<$kind>,)*
+        }
+
+        impl Blackboard {
+            /// Opens a blackboard with empty sections.
+            pub fn open() -> (Blackboard, Writers) {
+                $(let $field = section(<$kind>::default());)*
+                let writers = Writers { $($field: $field.0,)* };
+                (Blackboard { $($field: $field.1,)* }, writers)
+            }
+        }
+    };
+}
+
+board! {
+    /// The accepted configuration in force. Written by the distribution controller.
+    config: Option<ConfigSnapshot>,
+    /// Known members. Written by the membership controller.
+    members: Members,
+    /// Eligible backend servers of each service. Written by the endpoint controller.
+    endpoints: Endpoints,
+    /// Planned stops and this server's own drain. Written by the stop controller.
+    drains: Drains,
+    /// Concurrency limit and queues. Written by the load controller.
+    load: LoadView,
+    /// Claims of orders. Written by the order controller.
+    claims: ClaimsView,
+    /// Recent audit events. Written by the audit controller.
+    audit: AuditLog,
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/blackboard/section.rs
@@ -0,0 +1,95 @@
+//! One section of the blackboard.
+
+use std::fmt;
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, Guard};
+
+use super::wake::{WakeList, WakeReceiver};
+
+/// State that writer and readers of a section share.
+struct Shared<T> {
+    snapshot: ArcSwap<T>,
+    wakes: WakeList,
+}
+
+/// The only writer of a section.
+///
+/// Invariant: not `Clone`, so that a section has one writer.
+pub struct SectionWriter<T> {
+    shared: Arc<Shared<T>>,
+}
+
+/// A reader of a section.
+pub struct SectionReader<T> {
+    shared: Arc<Shared<T>>,
+}
+
+/// Opens a section that holds `initial`.
+pub fn section<T: Send + Sync>(initial: T) -> (SectionWriter<T>, SectionReader<T>) {
+    let snapshot = ArcSwap::from_pointee(initial);
+    let shared = Arc::new(Shared {
+        snapshot,
+        wakes: WakeList::default(),
+    });
+    let reader = SectionReader {
+        shared: Arc::clone(&shared),
+    };
+    (SectionWriter { shared }, reader)
+}
+
+impl<T: Send + Sync> SectionWriter<T> {
+    /// Replaces the snapshot and wakes the subscribers.
+    pub fn publish(&self, value: T) {
+        self.publish_arc(Arc::new(value));
+    }
+
+    /// Replaces the snapshot by one that is already shared and wakes the subscribers.
+    pub fn publish_arc(&self, value: Arc<T>) {
+        self.shared.snapshot.store(value);
+        self.shared.wakes.wake_all();
+    }
+
+    /// The snapshot that was published last.
+    pub fn load(&self) -> Guard<Arc<T>> {
+        self.shared.snapshot.load()
+    }
+}
+
+impl<T: Send + Sync> SectionReader<T> {
+    /// The present snapshot. Wait-free; for use within one request or one decision.
+    pub fn load(&self) -> Guard<Arc<T>> {
+        self.shared.snapshot.load()
+    }
+
+    /// The present snapshot, to be kept.
+    pub fn load_full(&self) -> Arc<T> {
+        self.shared.snapshot.load_full()
+    }
+
+    /// A channel that holds a message after each publication. Publications that follow each other
+    /// faster than they are received leave one message.
+    pub fn subscribe(&self) -> WakeReceiver {
+        self.shared.wakes.subscribe()
+    }
+}
+
+impl<T> Clone for SectionReader<T> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+impl<T> fmt::Debug for SectionReader<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SectionReader").finish_non_exhaustive()
+    }
+}
+
+impl<T> fmt::Debug for SectionWriter<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SectionWriter").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/blackboard/wake.rs
@@ -0,0 +1,46 @@
+//! Wake-ups of the subscribers of a section.
+
+use arc_swap::ArcSwap;
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+
+/// Receives one message after one or more publications.
+pub type WakeReceiver = Receiver<()>;
+
+/// Subscribers of a section.
+#[derive(Default)]
+pub(super) struct WakeList {
+    senders: ArcSwap<Vec<Sender<()>>>,
+}
+
+impl WakeList {
+    pub(super) fn subscribe(&self) -> WakeReceiver {
+        let (tx, rx) = bounded(1);
+        self.senders.rcu(|senders| {
+            let mut senders = Vec::clone(senders);
+            senders.push(tx.clone());
+            senders
+        });
+        rx
+    }
+
+    pub(super) fn wake_all(&self) {
+        let senders = self.senders.load();
+        let mut has_gone = false;
+        for tx in senders.iter() {
+            has_gone |= matches!(tx.try_send(()), Err(TrySendError::Disconnected(())));
+        }
+        if has_gone {
+            self.remove_gone();
+        }
+    }
+
+    fn remove_gone(&self) {
+        // A full channel means that the subscriber has a message waiting; only a channel without
+        // a receiver is removed.
+        self.senders.rcu(|senders| {
+            let is_open =
+                |tx: &&Sender<()>| !matches!(tx.try_send(()), Err(TrySendError::Disconnected(())));
+            senders.iter().filter(is_open).cloned().collect::<Vec<_>>()
+        });
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/config.rs
@@ -0,0 +1,42 @@
+//! The `config` section: the accepted configuration in force.
+
+mod route_table;
+
+use std::sync::Arc;
+
+pub use route_table::{RouteEntry, RouteTable};
+
+use crate::{Digest, Mesh, Timestamp, Version};
+
+/// The accepted configuration in force on this daemon.
+///
+/// Version, mesh and route table change together, in one publication.
+#[derive(Clone, Debug)]
+pub struct ConfigSnapshot {
+    /// Invariant: greater than the version of each snapshot published before.
+    pub version: Version,
+    /// The checked mesh.
+    pub mesh: Arc<Mesh>,
+    /// Invariant: built from `mesh`.
+    pub routes: RouteTable,
+    /// When this daemon put the version in force.
+    pub applied_at: Timestamp,
+}
+
+impl ConfigSnapshot {
+    /// A snapshot of `mesh` with its route table.
+    pub fn new(version: Version, mesh: Arc<Mesh>, applied_at: Timestamp) -> Self {
+        let routes = RouteTable::new(&mesh);
+        Self {
+            version,
+            mesh,
+            routes,
+            applied_at,
+        }
+    }
+
+    /// Digest of the mesh.
+    pub fn digest(&self) -> Digest {
+        self.mesh.digest()
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/endpoint.rs
@@ -0,0 +1,7 @@
+//! The `endpoints` section: the backend servers that may be chosen for each service.
+
+mod counters;
+mod endpoints;
+
+pub use counters::EndpointCounters;
+pub use endpoints::{Endpoint, Endpoints, FULL_WEIGHT, ServiceEndpoints};
--- /dev/null
+++ b/crates/lavenderhatch-core/src/endpoint/endpoints.rs
@@ -0,0 +1,56 @@
+//! Snapshot of the eligible backend servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::counters::EndpointCounters;
+use crate::Incarnation;
+use crate::names::{NodeId, ServiceName, Zone};
+
+/// Weight of a backend server that takes its full part of the load, in thousandths.
+pub const FULL_WEIGHT: u32 = 1000;
+
+/// A backend server that may be chosen.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Name of the backend server.
+    pub node: NodeId,
+    /// Start of its daemon.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where its daemon takes calls from peers.
+    pub peer_addr: SocketAddr,
+    /// Slots of its back end. Invariant: at least 1.
+    pub slots: u32,
+    /// Part of the load that it takes, in thousandths. Invariant: 1 to 1000.
+    pub weight: u32,
+    /// Whether it is chosen only where all others have failed.
+    pub is_last_resort: bool,
+    /// Own observations, shared with the request path.
+    pub counters: Arc<EndpointCounters>,
+}
+
+/// The backend servers of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceEndpoints {
+    /// Backend servers in the order of their names.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// The backend servers of all services.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoints {
+    /// By service.
+    pub by_service: HashMap<ServiceName, ServiceEndpoints>,
+}
+
+impl Endpoints {
+    /// The backend servers of `service`, empty if none is known.
+    pub fn of(&self, service: &str) -> &[Endpoint] {
+        self.by_service
+            .get(service)
+            .map_or(&[], |s| s.endpoints.as_slice())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/error_kind.rs
@@ -0,0 +1,159 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What an answer says about whether the request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// A back end ran the request and this is its answer.
+    Ran,
+    /// The request did not run and will not run on behalf of this call.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Value of the `Lavenderhatch-Outcome` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Ran => "ran",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// What a caller may do after an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryAdvice {
+    /// The same request will fail again.
+    Never,
+    /// Ask again with the same idempotency key.
+    SameKey,
+    /// Ask again after the advised time.
+    After,
+    /// Ask again with the same idempotency key, after the advised time.
+    SameKeyAfter,
+}
+
+impl RetryAdvice {
+    /// Whether the answer carries an advised time.
+    pub fn has_delay(self) -> bool {
+        matches!(self, RetryAdvice::After | RetryAdvice::SameKeyAfter)
+    }
+}
+
+/// What a caller is told for an error kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// What the caller may do.
+    pub retry: RetryAdvice,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $kind:ident $text:literal => $status:literal, $outcome:ident, $retry:ident;)*) => {
+        /// Error kinds. The list is closed: each error that a caller, an operator or a peer can
+        /// see is of one of these kinds.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum ErrorKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the table. The position of a kind is its code on the wire.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$kind,)*];
+
+            /// Value of the `Lavenderhatch-Error` header.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(ErrorKind::$kind => $text,)*
+                }
+            }
+
+            /// The table from kind to answer.
+            pub fn answer(self) -> Answer {
+                match self {
+                    $(ErrorKind::$kind => Answer {
+                        status: $status,
+                        outcome: Outcome::$outcome,
+                        retry: RetryAdvice::$retry,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request or its framing is malformed.
+    BadRequest "bad-request" => 400, NotRun, Never;
+    /// No route matches path and method.
+    NoRoute "no-route" => 404, NotRun, Never;
+    /// Head, body or message exceeds a limit.
+    TooLarge "too-large" => 413, NotRun, Never;
+    /// The route requires an idempotency key and the request has none.
+    KeyMissing "key-missing" => 400, NotRun, Never;
+    /// The idempotency key was used before with another request.
+    KeyConflict "key-conflict" => 422, NotRun, Never;
+    /// An order with the same idempotency key is running.
+    KeyInFlight "key-in-flight" => 409, Unknown, SameKeyAfter;
+    /// The queue of the rank is full.
+    Overloaded "overloaded" => 503, NotRun, After;
+    /// The request cannot meet its deadline given the work ahead of it.
+    DeadlineUnmeetable "deadline-unmeetable" => 503, NotRun, After;
+    /// No backend server of the service can be reached.
+    NoBackend "no-backend" => 503, NotRun, After;
+    /// The backend server is leaving.
+    Leaving "leaving" => 503, NotRun, After;
+    /// The daemon has no configuration yet.
+    NotReady "not-ready" => 503, NotRun, After;
+    /// The claim for an order could not be written, and was certainly not written.
+    ClaimUnavailable "claim-unavailable" => 503, NotRun, After;
+    /// The deadline passed after the request was handed to a back end.
+    DeadlinePassed "deadline-passed" => 504, Unknown, SameKey;
+    /// It cannot be told whether the order ran.
+    OutcomeUnknown "outcome-unknown" => 502, Unknown, SameKey;
+    /// The back end failed on an idempotent request.
+    BackendFailed "backend-failed" => 502, Unknown, After;
+    /// Another operator's version was accepted first.
+    Conflict "conflict" => 409, NotRun, Never;
+    /// The set of files has faults.
+    BadFiles "bad-files" => 422, NotRun, Never;
+    /// The platform does not answer.
+    PlatformUnavailable "platform-unavailable" => 503, Unknown, After;
+    /// A fault of lavenderhatch itself.
+    Internal "internal" => 500, Unknown, Never;
+}
+
+impl ErrorKind {
+    /// Code of the kind in messages between daemons.
+    pub fn code(self) -> u16 {
+        self as u16
+    }
+
+    /// The kind with this code; codes of later releases read as `Internal`.
+    pub fn from_code(code: u16) -> ErrorKind {
+        let kind = ErrorKind::ALL.get(usize::from(code)).copied();
+        kind.unwrap_or(ErrorKind::Internal)
+    }
+
+    /// Whether an error of this kind means that the request did not run.
+    pub fn is_not_run(self) -> bool {
+        self.answer().outcome == Outcome::NotRun
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/load.rs
@@ -0,0 +1,29 @@
+//! The `load` section: concurrency limit and queues of this backend server.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::names::RankName;
+
+/// Load of one rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankLoad {
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests admitted since the start.
+    pub admitted: u64,
+    /// Requests refused since the start.
+    pub refused: u64,
+}
+
+/// Snapshot of the load of this backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadView {
+    /// Requests that may run at the same time.
+    pub limit: u32,
+    /// Requests that run.
+    pub in_flight: u32,
+    /// Load by rank.
+    pub ranks: BTreeMap<RankName, RankLoad>,
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/member.rs
@@ -0,0 +1,7 @@
+//! The `members` section: what this daemon knows of all members.
+
+mod members;
+mod record;
+
+pub use members::{HeardVersion, Members};
+pub use record::{Incarnation, MemberRecord, MemberState};
--- /dev/null
+++ b/crates/lavenderhatch-core/src/member/members.rs
@@ -0,0 +1,48 @@
+//! All known members.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::record::{MemberRecord, MemberState};
+use crate::names::NodeId;
+use crate::{Digest, Timestamp, Version};
+
+/// What the last heartbeat of a member said about its configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeardVersion {
+    /// Version that the member holds.
+    pub version: Version,
+    /// Digest of its mesh.
+    pub digest: Digest,
+    /// When the heartbeat arrived.
+    pub at: Timestamp,
+}
+
+/// Snapshot of the members that this daemon knows, itself included.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Records by name.
+    pub by_id: BTreeMap<NodeId, Arc<MemberRecord>>,
+    /// Members that this daemon keeps a link to. Invariant: without this daemon itself.
+    pub links: Vec<NodeId>,
+    /// Versions heard from the linked members.
+    pub heard: BTreeMap<NodeId, HeardVersion>,
+    /// Highest version that any member has seen this daemon hold, in this or an earlier
+    /// incarnation. Invariant: never decreases.
+    pub floor: Version,
+    /// Whether the first members have answered, or the platform said that there are none.
+    pub is_joined: bool,
+}
+
+impl Members {
+    /// The record of a member.
+    pub fn get(&self, id: &str) -> Option<&MemberRecord> {
+        self.by_id.get(id).map(Arc::as_ref)
+    }
+
+    /// Members that are running: starting, serving or leaving.
+    pub fn live(&self) -> impl Iterator<Item = &MemberRecord> {
+        let is_live = |record: &&MemberRecord| record.state <= MemberState::Leaving;
+        self.by_id.values().map(Arc::as_ref).filter(is_live)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/mesh/changes.rs
@@ -0,0 +1,89 @@
+//! The difference between two meshes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Limits, Mesh, MeshParts, Rank, Route, Service, Stop};
+use crate::names::{RankName, RouteName, ServiceName, StopName};
+
+/// What changed from one mesh to another: objects by name, `None` for a removed object.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MeshChanges {
+    /// Changed and removed services.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub services: BTreeMap<ServiceName, Option<Service>>,
+    /// Changed and removed routes.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<RouteName, Option<Route>>,
+    /// Changed and removed ranks.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub ranks: BTreeMap<RankName, Option<Rank>>,
+    /// Changed and removed planned stops.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub stops: BTreeMap<StopName, Option<Stop>>,
+    /// Limits, if they changed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limits: Option<Limits>,
+}
+
+impl MeshChanges {
+    /// What changes from `from` to `to`.
+    pub fn between(from: &Mesh, to: &Mesh) -> Self {
+        let limits = (from.limits() != to.limits()).then(|| to.limits().clone());
+        Self {
+            services: changed(from.services(), to.services()),
+            routes: changed(from.routes(), to.routes()),
+            ranks: changed(from.ranks(), to.ranks()),
+            stops: changed(from.stops(), to.stops()),
+            limits,
+        }
+    }
+
+    /// The parts that `base` becomes with these changes. They are not checked yet.
+    pub fn apply_to(&self, base: &Mesh) -> MeshParts {
+        let mut parts = base.parts().clone();
+        merge(&mut parts.services, &self.services);
+        merge(&mut parts.routes, &self.routes);
+        merge(&mut parts.ranks, &self.ranks);
+        merge(&mut parts.stops, &self.stops);
+        if let Some(limits) = &self.limits {
+            parts.limits = limits.clone();
+        }
+        parts
+    }
+
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+fn changed<K, V>(from: &BTreeMap<K, V>, to: &BTreeMap<K, V>) -> BTreeMap<K, Option<V>>
+where
+    K: Ord + Clone,
+    V: PartialEq + Clone,
+{
+    let removed = from.keys().filter(|key| !to.contains_key(*key));
+    let mut changes: BTreeMap<K, Option<V>> = removed.map(|key| (key.clone(), None)).collect();
+    for (key, value) in to {
+        if from.get(key) != Some(value) {
+            changes.insert(key.clone(), Some(value.clone()));
+        }
+    }
+    changes
+}
+
+fn merge<K, V>(values: &mut BTreeMap<K, V>, changes: &BTreeMap<K, Option<V>>)
+where
+    K: Ord + Clone,
+    V: Clone,
+{
+    for (key, change) in changes {
+        match change {
+            Some(value) => values.insert(key.clone(), value.clone()),
+            None => values.remove(key),
+        };
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-core/src/mesh/rank.rs
@@ -0,0 +1,56 @@
+//! Ranks of work.
+
+use serde::{Deserialize, Serialize};
+
+use super::fault::{MeshFault, MeshPath};
+use crate::names::RankName;
+
+/// Longest latency target, in milliseconds.
+const MAX_TARGET_MS: u64 = 600_000;
+
+/// A rank of work: how urgent it is and what it keeps while other ranks flood in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rank {
+    /// Latency target, in milliseconds. Invariant: 1 to 600,000.
+    pub target_ms: u64,
+    /// Value of one request answered within its target, relative to other ranks. Invariant: at
+    /// least 1.
+    pub worth: u32,
+    /// Guaranteed share of the slots of a backend server. Invariant: 0 to 1, and the shares of all
+    /// ranks add up to at most 1.
+    pub share: f64,
+}
+
+impl Rank {
+    pub(super) fn check(&self, name: &RankName, faults: &mut Vec<MeshFault>) {
+        let mut fault = |key: &str, message: String, remedy: &str| {
+            faults.push(MeshFault::new(
+                MeshPath::key("ranks", name.as_str(), key),
+                message,
+                remedy,
+            ));
+        };
+        if !(1..=MAX_TARGET_MS).contains(&self.target_ms) {
+            fault(
+                "target_ms",
+                format!("a target of {} ms", self.target_ms),
+                "give 1 to 600000 milliseconds",
+            );
+        }
+        if self.worth == 0 {
+            fault(
+                "worth",
+                "a worth of 0".to_owned(),
+                "give a worth of at least 1",
+            );
+        }
+        if !(0.0..=1.0).contains(&self.share) {
+            fault(
+                "share",
+                format!("a share of {}", self.share),
+                "give a share from 0 to 1",
+            );
+        }
+    }
+}
