--- /dev/null
+++ b/crates/lavenderhatch-files/src/mesh/render.rs
@@ -0,0 +1,44 @@
+//! Writes a mesh as files.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use lavenderhatch_core::Mesh;
+use serde_json::Value as Json;
+
+use crate::source::Source;
+
+/// Writes a mesh as one file for each section. Reading the files gives the same mesh.
+pub fn render_mesh(mesh: &Mesh) -> Vec<Source> {
+    let Ok(Json::Object(sections)) = serde_json::to_value(mesh.parts()) else {
+        return Vec::new();
+    };
+    let mut sources = Vec::new();
+    for (name, mut section) in sections {
+        if section.as_object().is_none_or(|objects| objects.is_empty()) {
+            continue;
+        }
+        if name == "stops" {
+            write_times(&mut section);
+        }
+        let file = serde_json::json!({ &name: section });
+        let text = serde_json::to_string_pretty(&file).unwrap_or_default() + "\n";
+        sources.push(Source::new(format!("{name}.jsonc"), text));
+    }
+    sources
+}
+
+fn write_times(stops: &mut Json) {
+    for stop in stops
+        .as_object_mut()
+        .into_iter()
+        .flat_map(|stops| stops.values_mut())
+    {
+        for key in ["start", "deadline"] {
+            let Some(millis) = stop[key].as_u64() else {
+                continue;
+            };
+            let time = UNIX_EPOCH + Duration::from_millis(millis);
+            stop[key] = Json::from(humantime::format_rfc3339(time).to_string());
+        }
+    }
+}
