--- /dev/null
+++ b/crates/lavenderhatch-decide/src/acceptance/plan.rs
@@ -0,0 +1,63 @@
+//! The steps of an operator's tool that applies a set of files.
+
+use lavenderhatch_core::{Error, ErrorKind, Mesh, Timestamp, Version};
+
+use super::root::{RootContent, RootObject};
+
+/// What became of a write whose answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterWrite {
+    /// The write took effect.
+    Accepted(Version),
+    /// The write had no effect and may be sent again.
+    NotWritten,
+    /// Another operator's version was accepted.
+    Lost(Version),
+}
+
+/// The root object that accepts `mesh` after `current`.
+pub fn next_root(
+    current: Option<&RootObject>,
+    mesh: &Mesh,
+    author: &str,
+    nonce: &str,
+    reason: &str,
+    now: Timestamp,
+) -> Result<RootObject, Error> {
+    let version = current.map_or(Version::NONE, |root| root.version).next();
+    if current.is_some_and(|root| root.digest == mesh.digest()) {
+        let message = format!("version {} already holds the same files", version.0 - 1);
+        return Err(Error::new(ErrorKind::Conflict, message));
+    }
+    Ok(RootObject {
+        version,
+        digest: mesh.digest(),
+        author: author.to_owned(),
+        nonce: nonce.to_owned(),
+        at: now,
+        reason: reason.to_owned(),
+        content: RootContent::Inline(Box::new(mesh.parts().clone())),
+    })
+}
+
+/// Decides from the root object that was read back whether `sent` took effect.
+///
+/// `base` is the version on which `sent` was built. A write that took effect and was then replaced
+/// by a later version cannot be told from one that lost; both are reported as lost, and the caller
+/// never writes a second time unless the root object is still the base.
+pub fn resolve_lost_answer(
+    sent: &RootObject,
+    base: Version,
+    read_back: Option<&RootObject>,
+) -> AfterWrite {
+    let Some(root) = read_back else {
+        return AfterWrite::NotWritten;
+    };
+    if root.nonce == sent.nonce && root.digest == sent.digest {
+        return AfterWrite::Accepted(root.version);
+    }
+    match root.version == base {
+        true => AfterWrite::NotWritten,
+        false => AfterWrite::Lost(root.version),
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -0,0 +1,14 @@
+//! Deciding functions of lavenderhatch.
+//!
+//! Nothing here does I/O, reads a clock or draws an unseeded random number: the present time and
+//! random numbers are arguments. Any front end can drive this code, one message in, messages out.
+//!
+//! - [`acceptance`]: how a set of files becomes the accepted version.
+//! - [`distribution`]: how an accepted version reaches each daemon.
+//! - [`routing`]: which backend server runs a call.
+//! - [`message`]: messages between daemons, independent of their encoding.
+
+pub mod acceptance;
+pub mod distribution;
+pub mod message;
+pub mod routing;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/routing.rs
@@ -0,0 +1,5 @@
+//! Which backend server runs a call.
+
+mod choose;
+
+pub use choose::choose;
