--- /dev/null
+++ b/crates/lavenderhatch-wire/src/scalar.rs
@@ -0,0 +1,88 @@
+//! Texts, digests and names in messages, with their limits.
+
+use capnp::{data, text};
+use lavenderhatch_core::names::NameError;
+use lavenderhatch_core::{Digest, Incarnation, Version};
+
+/// Largest message, in words of eight bytes.
+pub const MAX_TRAVERSAL_WORDS: usize = 4 * 1024 * 1024;
+
+/// Longest text other than a body, in bytes.
+pub(crate) const MAX_TEXT_BYTES: usize = 64 * 1024;
+
+/// A received message that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The message is not well-formed.
+    #[error("malformed message: {0}")]
+    Malformed(#[from] capnp::Error),
+    /// A text is not UTF-8.
+    #[error("a text is not UTF-8")]
+    NotUtf8,
+    /// A field holds a value that is not allowed.
+    #[error("field {field} {reason}")]
+    BadField {
+        /// Name of the field.
+        field: &'static str,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl From<WireError> for capnp::Error {
+    fn from(err: WireError) -> capnp::Error {
+        capnp::Error::failed(err.to_string())
+    }
+}
+
+impl From<capnp::NotInSchema> for WireError {
+    fn from(_: capnp::NotInSchema) -> Self {
+        bad_field("union", "has a variant of a later release")
+    }
+}
+
+pub(crate) fn bad_field(field: &'static str, reason: impl Into<String>) -> WireError {
+    WireError::BadField {
+        field,
+        reason: reason.into(),
+    }
+}
+
+pub(crate) fn read_text<'a>(
+    field: &'static str,
+    text: text::Reader<'a>,
+) -> Result<&'a str, WireError> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(bad_field(field, format!("has {} bytes", text.len())));
+    }
+    text.to_str().map_err(|_| WireError::NotUtf8)
+}
+
+pub(crate) fn read_name<T>(
+    field: &'static str,
+    text: text::Reader<'_>,
+    new: impl Fn(&str) -> Result<T, NameError>,
+) -> Result<T, WireError> {
+    new(read_text(field, text)?).map_err(|err| bad_field(field, err.to_string()))
+}
+
+/// Reads a digest. Absent data is an error.
+pub fn read_digest(field: &'static str, data: data::Reader<'_>) -> Result<Digest, WireError> {
+    Digest::from_slice(data).map_err(|err| bad_field(field, err.to_string()))
+}
+
+pub(crate) fn read_version(version: u64) -> Version {
+    Version(version)
+}
+
+pub(crate) fn read_incarnation(incarnation: u64) -> Incarnation {
+    Incarnation(incarnation)
+}
+
+/// Checks the length of a list before it is read.
+pub(crate) fn check_len(field: &'static str, len: u32, limit: u32) -> Result<(), WireError> {
+    if len > limit {
+        return Err(bad_field(field, format!("has {len} entries")));
+    }
+    Ok(())
+}
