Add the platform client, its stand-in and the back-end stand-in

The stand-in injects latency, outages, rate limits and answers that are lost after the write took effect. Acceptance reads back after a lost answer and never writes a second version.

--- /dev/null
+++ b/crates/lavenderhatch-platform/src/accept.rs
@@ -0,0 +1,96 @@
+//! Has a set of files accepted: one conditional write of the root object.
+
+use lavenderhatch_core::{Error, ErrorKind, Mesh, Timestamp, Version};
+use lavenderhatch_decide::acceptance::{
+    AfterWrite, ROOT_NAME, RootObject, next_root, resolve_lost_answer,
+};
+
+use crate::error::PlatformError;
+use crate::object::Expected;
+use crate::traits::Platform;
+
+/// Most writes of one proposal. A write is sent again only once it is known to have had no effect.
+const MAX_WRITES: usize = 3;
+
+/// A set of files that an operator wants to be accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct Proposal<'a> {
+    /// The checked set.
+    pub mesh: &'a Mesh,
+    /// Who proposes it.
+    pub author: &'a str,
+    /// Why.
+    pub reason: &'a str,
+    /// Distinguishes this proposal from all others.
+    pub nonce: &'a str,
+}
+
+/// Reads the root object.
+pub fn read_root<P: Platform>(platform: &P) -> Result<Option<(RootObject, u64)>, Error> {
+    let Some(object) = platform.get(ROOT_NAME)? else {
+        return Ok(None);
+    };
+    let root = serde_json::from_slice(&object.value).map_err(|err| {
+        Error::new(
+            ErrorKind::Internal,
+            format!("the root object cannot be read: {err}"),
+        )
+    })?;
+    Ok(Some((root, object.version)))
+}
+
+/// Has a proposal accepted and returns its version.
+///
+/// # Errors
+///
+/// `Conflict` names the version that was accepted instead. `PlatformUnavailable` means that the
+/// outcome could not be read back.
+pub fn accept<P: Platform>(
+    platform: &P,
+    proposal: &Proposal<'_>,
+    now: Timestamp,
+) -> Result<Version, Error> {
+    let current = read_root(platform)?;
+    let base = current.as_ref().map(|(root, _)| root);
+    let root = next_root(
+        base,
+        proposal.mesh,
+        proposal.author,
+        proposal.nonce,
+        proposal.reason,
+        now,
+    )?;
+    let base_version = base.map_or(Version::NONE, |root| root.version);
+    let expected = current
+        .as_ref()
+        .map_or(Expected::Absent, |(_, version)| Expected::Version(*version));
+    let value = serde_json::to_vec(&root)
+        .map_err(|err| Error::new(ErrorKind::Internal, err.to_string()))?;
+    for _ in 0..MAX_WRITES {
+        match platform.put(ROOT_NAME, &value, expected) {
+            Ok(_) => return Ok(root.version),
+            Err(err) if is_settled(&err) => return Err(err.into()),
+            Err(_) => {}
+        }
+        let read_back = read_root(platform)?;
+        let read_back = read_back.as_ref().map(|(root, _)| root);
+        match resolve_lost_answer(&root, base_version, read_back) {
+            AfterWrite::Accepted(version) => return Ok(version),
+            AfterWrite::Lost(version) => {
+                let message = format!("version {version} was accepted first");
+                return Err(Error::new(ErrorKind::Conflict, message));
+            }
+            AfterWrite::NotWritten => {}
+        }
+    }
+    let message = "the platform lost the write several times; nothing was accepted";
+    Err(Error::new(ErrorKind::PlatformUnavailable, message))
+}
+
+/// Whether reading back adds nothing: the write had no effect for a reason that stays.
+fn is_settled(err: &PlatformError) -> bool {
+    matches!(
+        err,
+        PlatformError::TooLarge { .. } | PlatformError::RateLimited
+    )
+}
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/client.rs
@@ -0,0 +1,185 @@
+//! The platform over HTTP.
+
+use std::time::Duration;
+
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::error::PlatformError;
+use crate::object::{Expected, MAX_VALUE_BYTES, Object, ObjectMeta};
+use crate::server::LOST_HEADER;
+use crate::traits::Platform;
+
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a watch may take beyond its wait.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// The platform over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    agent: Agent,
+    /// Invariant: at least one, without a trailing `/`.
+    urls: Vec<String>,
+}
+
+impl HttpPlatform {
+    /// A client that tries the URLs in order. No connection is made yet.
+    pub fn open(urls: &[String]) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(CALL_TIMEOUT))
+            .build();
+        let urls = urls
+            .iter()
+            .map(|url| url.trim_end_matches('/').to_owned())
+            .collect();
+        Self {
+            agent: config.into(),
+            urls,
+        }
+    }
+
+    /// Calls the URLs in order until one is reached.
+    fn try_urls(
+        &self,
+        path: &str,
+        send: impl Fn(&str) -> Result<Response<Body>, ureq::Error>,
+    ) -> Result<Response<Body>, PlatformError> {
+        let mut last = PlatformError::Unreachable("no URL is set".to_owned());
+        for url in &self.urls {
+            match send(&format!("{url}{path}")).map_err(|err| transport_error(&err)) {
+                Ok(res) => return check_status(res),
+                Err(err @ PlatformError::Unreachable(_)) => last = err,
+                Err(err) => return Err(err),
+            }
+        }
+        Err(last)
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, name: &str) -> Result<Option<Object>, PlatformError> {
+        let res = self.try_urls(&format!("/objects/{name}"), |url| {
+            self.agent.get(url).call()
+        })?;
+        read_object(res)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, PlatformError> {
+        let path = format!("/list?prefix={prefix}");
+        let res = self.try_urls(&path, |url| self.agent.get(url).call())?;
+        let body = read_body(res)?;
+        serde_json::from_slice(&body).map_err(|err| PlatformError::BadAnswer(err.to_string()))
+    }
+
+    fn put(&self, name: &str, value: &[u8], expected: Expected) -> Result<u64, PlatformError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(PlatformError::TooLarge { bytes: value.len() });
+        }
+        let res = self.try_urls(&format!("/objects/{name}"), |url| {
+            let req = self.agent.put(url);
+            let req = match expected {
+                Expected::Absent => req.header("if-none-match", "*"),
+                Expected::Version(version) => req.header("if-match", format!("\"{version}\"")),
+            };
+            req.send(value)
+        })?;
+        version_of(&res)
+    }
+
+    fn delete(&self, name: &str, version: u64) -> Result<(), PlatformError> {
+        let path = format!("/objects/{name}");
+        self.try_urls(&path, |url| {
+            self.agent
+                .delete(url)
+                .header("if-match", format!("\"{version}\""))
+                .call()
+        })?;
+        Ok(())
+    }
+
+    fn watch(
+        &self,
+        name: &str,
+        seen: u64,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        let path = format!(
+            "/objects/{name}?seen={seen}&timeout_ms={}",
+            timeout.as_millis()
+        );
+        let res = self.try_urls(&path, |url| {
+            let limit = Some(timeout + WATCH_SLACK);
+            self.agent
+                .get(url)
+                .config()
+                .timeout_global(limit)
+                .build()
+                .call()
+        })?;
+        read_object(res)
+    }
+}
+
+fn transport_error(err: &ureq::Error) -> PlatformError {
+    use ureq::Timeout;
+    let text = err.to_string();
+    match err {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => {
+            PlatformError::Unreachable(text)
+        }
+        ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => {
+            PlatformError::Unreachable(text)
+        }
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            PlatformError::Unreachable(text)
+        }
+        _ => PlatformError::AnswerLost(text),
+    }
+}
+
+fn check_status(res: Response<Body>) -> Result<Response<Body>, PlatformError> {
+    if res.headers().contains_key(LOST_HEADER) {
+        return Err(PlatformError::AnswerLost("injected fault".to_owned()));
+    }
+    match res.status().as_u16() {
+        200 | 204 | 304 | 404 => Ok(res),
+        412 => Err(PlatformError::Conflict {
+            current: version_of(&res)?,
+        }),
+        413 => Err(PlatformError::TooLarge { bytes: 0 }),
+        429 => Err(PlatformError::RateLimited),
+        503 => Err(PlatformError::Unreachable(
+            "the platform answered 503".to_owned(),
+        )),
+        code => Err(PlatformError::BadAnswer(format!("status {code}"))),
+    }
+}
+
+fn version_of(res: &Response<Body>) -> Result<u64, PlatformError> {
+    let tag = res
+        .headers()
+        .get("etag")
+        .and_then(|value| value.to_str().ok());
+    let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+    version.ok_or_else(|| PlatformError::BadAnswer("no version".to_owned()))
+}
+
+fn read_body(mut res: Response<Body>) -> Result<Vec<u8>, PlatformError> {
+    let limit = 16 * MAX_VALUE_BYTES as u64;
+    let read = res.body_mut().with_config().limit(limit).read_to_vec();
+    read.map_err(|err| PlatformError::AnswerLost(err.to_string()))
+}
+
+fn read_object(res: Response<Body>) -> Result<Option<Object>, PlatformError> {
+    if res.status().as_u16() != 200 {
+        return Ok(None);
+    }
+    let version = version_of(&res)?;
+    let value = read_body(res)?;
+    Ok(Some(Object { version, value }))
+}
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/lib.rs
@@ -0,0 +1,36 @@
+//! The platform's object API: a trait, an HTTP client, and a stand-in for tests, the demonstration
+//! and measurements.
+//!
+//! ```
+//! use lavenderhatch_core::Timestamp;
+//! use lavenderhatch_platform::{Expected, ObjectStore};
+//!
+//! let mut store = ObjectStore::default();
+//! let now = Timestamp(1_000);
+//! let version = store.put("mesh/root", b"{}", Expected::Absent, now).unwrap();
+//! assert_eq!(store.get("mesh/root", now).unwrap().unwrap().version, version);
+//! ```
+//!
+//! - [`Platform`]: what the daemon and the operator's tool need of the platform.
+//! - [`HttpPlatform`]: the platform over HTTP.
+//! - [`ObjectStore`]: objects in memory with injected faults, driven with the time as argument.
+//! - [`MemoryPlatform`]: the store shared between threads of one process.
+//! - [`server`]: the store served over HTTP.
+
+pub mod accept;
+mod client;
+mod error;
+mod faults;
+mod memory;
+mod object;
+pub mod server;
+mod store;
+mod traits;
+
+pub use client::HttpPlatform;
+pub use error::PlatformError;
+pub use faults::Faults;
+pub use memory::MemoryPlatform;
+pub use object::{Expected, MAX_VALUE_BYTES, Object, ObjectMeta};
+pub use store::{CallCounts, ObjectStore};
+pub use traits::Platform;
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/memory.rs
@@ -0,0 +1,116 @@
+//! The store shared between threads of one process.
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::Timestamp;
+
+use crate::error::PlatformError;
+use crate::faults::Faults;
+use crate::object::{Expected, Object, ObjectMeta};
+use crate::store::{CallCounts, ObjectStore};
+use crate::traits::Platform;
+
+#[derive(Default)]
+struct Shared {
+    store: Mutex<ObjectStore>,
+    changed: Condvar,
+}
+
+/// A stand-in for the platform within one process. Clones share the same objects.
+#[derive(Clone, Default)]
+pub struct MemoryPlatform {
+    shared: Arc<Shared>,
+}
+
+impl MemoryPlatform {
+    /// Replaces the faults. Waiting watches notice an outage at once.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().set_faults(faults);
+        self.shared.changed.notify_all();
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults().clone()
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> CallCounts {
+        self.lock().counts()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ObjectStore> {
+        self.shared
+            .store
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the injected latency, then gives the store.
+    fn enter(&self) -> MutexGuard<'_, ObjectStore> {
+        let store = self.lock();
+        let latency = Duration::from_millis(store.faults().latency_ms);
+        if latency.is_zero() {
+            return store;
+        }
+        let start = Instant::now();
+        let wait = self
+            .shared
+            .changed
+            .wait_timeout_while(store, latency, |_| start.elapsed() < latency);
+        wait.unwrap_or_else(PoisonError::into_inner).0
+    }
+}
+
+impl Platform for MemoryPlatform {
+    fn get(&self, name: &str) -> Result<Option<Object>, PlatformError> {
+        self.enter().get(name, Timestamp::from_system_clock())
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, PlatformError> {
+        self.enter().list(prefix, Timestamp::from_system_clock())
+    }
+
+    fn put(&self, name: &str, value: &[u8], expected: Expected) -> Result<u64, PlatformError> {
+        let result = self
+            .enter()
+            .put(name, value, expected, Timestamp::from_system_clock());
+        self.shared.changed.notify_all();
+        result
+    }
+
+    fn delete(&self, name: &str, version: u64) -> Result<(), PlatformError> {
+        let result = self
+            .enter()
+            .delete(name, version, Timestamp::from_system_clock());
+        self.shared.changed.notify_all();
+        result
+    }
+
+    fn watch(
+        &self,
+        name: &str,
+        seen: u64,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        let mut store = self.enter();
+        store.start_watch(Timestamp::from_system_clock())?;
+        let is_same = |store: &mut ObjectStore| {
+            let version = store.peek(name).map_or(0, |object| object.version);
+            version == seen && !store.faults().is_down
+        };
+        let wait = self
+            .shared
+            .changed
+            .wait_timeout_while(store, timeout, is_same);
+        let (store, wait) = wait.unwrap_or_else(PoisonError::into_inner);
+        if store.faults().is_down {
+            return Err(PlatformError::Unreachable("injected outage".to_owned()));
+        }
+        if wait.timed_out() {
+            return Ok(None);
+        }
+        Ok(store.peek(name).cloned())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/server.rs
@@ -0,0 +1,219 @@
+//! The stand-in over HTTP.
+//!
+//! | request | answer |
+//! |---|---|
+//! | `GET /objects/NAME` | 200 with `ETag: VERSION`, or 404 |
+//! | `GET /objects/NAME?seen=VERSION&timeout_ms=MS` | the same once the version differs, or 304 |
+//! | `PUT /objects/NAME` with `If-None-Match: *` or `If-Match: VERSION` | 200 with `ETag`, 412 |
+//! | `DELETE /objects/NAME` with `If-Match: VERSION` | 204, 412 |
+//! | `GET /list?prefix=PREFIX` | 200 with a JSON list of names and versions |
+//! | `PUT /faults` with JSON | 204; faults to inject |
+//! | `GET /counts` | 200 with JSON; calls so far |
+//!
+//! 429 answers a call above the rates, 413 a value that is too large, 503 an outage. An answer that
+//! is lost closes the connection after half of the head.
+
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lavenderhatch_core::Error;
+use lavenderhatch_core::ErrorKind;
+use oxhttp::model::{Body, Request, Response};
+use oxhttp::{ListeningServer, Server};
+
+use crate::error::PlatformError;
+use crate::memory::MemoryPlatform;
+use crate::object::{Expected, MAX_VALUE_BYTES, Object};
+use crate::traits::Platform;
+
+/// Longest wait of one watch.
+const MAX_WATCH: Duration = Duration::from_secs(60);
+/// Time after which a silent connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Status that no client reads: stands for an answer that was lost.
+const LOST_ANSWER_STATUS: u16 = 500;
+/// Name of the header of an answer whose content was lost by an injected fault.
+pub(crate) const LOST_HEADER: &str = "answer-lost";
+
+/// A running stand-in.
+pub struct PlatformServer {
+    /// Kept so that the listening threads are tied to this handle.
+    _listening: ListeningServer,
+    addr: SocketAddr,
+}
+
+impl PlatformServer {
+    /// Binds the address and serves the objects of `platform` on its own threads.
+    pub fn bind(addr: SocketAddr, platform: MemoryPlatform) -> Result<Self, Error> {
+        let server = Server::new(move |req| serve(&platform, req))
+            .bind(addr)
+            .with_global_timeout(IDLE_TIMEOUT);
+        let listening = server.spawn().map_err(|err| {
+            Error::new(
+                ErrorKind::Internal,
+                format!("cannot listen on {addr}: {err}"),
+            )
+        })?;
+        Ok(Self {
+            _listening: listening,
+            addr,
+        })
+    }
+
+    /// Where the stand-in listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+fn serve(platform: &MemoryPlatform, req: &mut Request<Body>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let query = req.uri().query().unwrap_or("").to_owned();
+    if let Some(name) = path.strip_prefix("/objects/") {
+        return serve_object(platform, req, name, &query);
+    }
+    match (req.method().as_str(), path.as_str()) {
+        ("GET", "/list") => {
+            let prefix = query_value(&query, "prefix").unwrap_or("");
+            match platform.list(prefix) {
+                Ok(list) => json(&list),
+                Err(err) => failure(&err),
+            }
+        }
+        ("GET", "/counts") => json(&platform.counts()),
+        ("PUT", "/faults") => match read_body(req).map(|body| serde_json::from_slice(&body)) {
+            Ok(Ok(faults)) => {
+                platform.set_faults(faults);
+                status(204)
+            }
+            Ok(Err(err)) => text(400, &err.to_string()),
+            Err(err) => text(400, &err.to_string()),
+        },
+        _ => status(404),
+    }
+}
+
+fn serve_object(
+    platform: &MemoryPlatform,
+    req: &mut Request<Body>,
+    name: &str,
+    query: &str,
+) -> Response<Body> {
+    match req.method().as_str() {
+        "GET" => serve_get(platform, name, query),
+        "PUT" => {
+            let Some(expected) = expected(req) else {
+                return text(428, "send If-Match or If-None-Match");
+            };
+            match read_body(req) {
+                Ok(body) => match platform.put(name, &body, expected) {
+                    Ok(version) => tagged(200, version, Body::empty()),
+                    Err(err) => failure(&err),
+                },
+                Err(err) => text(400, &err.to_string()),
+            }
+        }
+        "DELETE" => match expected(req) {
+            Some(Expected::Version(version)) => match platform.delete(name, version) {
+                Ok(()) => status(204),
+                Err(err) => failure(&err),
+            },
+            _ => text(428, "send If-Match"),
+        },
+        _ => status(405),
+    }
+}
+
+fn serve_get(platform: &MemoryPlatform, name: &str, query: &str) -> Response<Body> {
+    let seen = query_value(query, "seen").and_then(|text| text.parse().ok());
+    let Some(seen) = seen else {
+        return match platform.get(name) {
+            Ok(object) => object_answer(object),
+            Err(err) => failure(&err),
+        };
+    };
+    let millis = query_value(query, "timeout_ms").and_then(|text| text.parse().ok());
+    let timeout = Duration::from_millis(millis.unwrap_or(1000)).min(MAX_WATCH);
+    match platform.watch(name, seen, timeout) {
+        Ok(Some(object)) => object_answer(Some(object)),
+        Ok(None) => status(304),
+        Err(err) => failure(&err),
+    }
+}
+
+fn object_answer(object: Option<Object>) -> Response<Body> {
+    match object {
+        Some(object) => tagged(200, object.version, Body::from(object.value)),
+        None => status(404),
+    }
+}
+
+fn failure(err: &PlatformError) -> Response<Body> {
+    match err {
+        PlatformError::Conflict { current } => tagged(412, *current, Body::empty()),
+        PlatformError::TooLarge { .. } => text(413, &err.to_string()),
+        PlatformError::RateLimited => text(429, &err.to_string()),
+        PlatformError::Unreachable(_) => text(503, &err.to_string()),
+        PlatformError::AnswerLost(_) | PlatformError::BadAnswer(_) => {
+            let mut res = text(LOST_ANSWER_STATUS, "");
+            res.headers_mut()
+                .insert(LOST_HEADER, oxhttp::model::HeaderValue::from_static("1"));
+            res
+        }
+    }
+}
+
+fn expected(req: &Request<Body>) -> Option<Expected> {
+    let header = |name: &str| {
+        req.headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    if header("if-none-match") == Some("*") {
+        return Some(Expected::Absent);
+    }
+    let version = header("if-match")?.trim_matches('"').parse().ok()?;
+    Some(Expected::Version(version))
+}
+
+fn read_body(req: &mut Request<Body>) -> io::Result<Vec<u8>> {
+    let mut buf = Vec::new();
+    let limit = MAX_VALUE_BYTES as u64 + 1;
+    req.body_mut().take(limit).read_to_end(&mut buf)?;
+    Ok(buf)
+}
+
+fn query_value<'q>(query: &'q str, key: &str) -> Option<&'q str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(name, _)| *name == key).map(|(_, value)| value)
+}
+
+fn response(code: u16, body: Body) -> Response<Body> {
+    let mut res = Response::new(body);
+    *res.status_mut() = oxhttp::model::StatusCode::from_u16(code).unwrap_or_default();
+    res
+}
+
+fn status(code: u16) -> Response<Body> {
+    response(code, Body::empty())
+}
+
+fn text(code: u16, message: &str) -> Response<Body> {
+    response(code, Body::from(message.to_owned()))
+}
+
+fn json(value: &impl serde::Serialize) -> Response<Body> {
+    response(
+        200,
+        Body::from(serde_json::to_vec(value).unwrap_or_default()),
+    )
+}
+
+fn tagged(code: u16, version: u64, body: Body) -> Response<Body> {
+    let mut res = response(code, body);
+    if let Ok(tag) = oxhttp::model::HeaderValue::from_str(&format!("\"{version}\"")) {
+        res.headers_mut().insert("etag", tag);
+    }
+    res
+}
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/store.rs
@@ -0,0 +1,185 @@
+//! Objects in memory, driven with the time as argument.
+
+use std::collections::BTreeMap;
+
+use lavenderhatch_core::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::error::PlatformError;
+use crate::faults::Faults;
+use crate::object::{Expected, MAX_VALUE_BYTES, Object, ObjectMeta};
+
+/// Length of the window in which calls are counted against the rates, in milliseconds.
+const RATE_WINDOW_MS: u64 = 1000;
+
+/// Calls since the store was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads, lists and watches.
+    pub reads: u64,
+    /// Writes and removals.
+    pub writes: u64,
+    /// Calls refused because of the rates.
+    pub refused: u64,
+}
+
+/// The stand-in's objects and faults.
+#[derive(Debug, Default)]
+pub struct ObjectStore {
+    objects: BTreeMap<String, Object>,
+    /// Invariant: at least the version of each object, also of removed ones.
+    last_version: u64,
+    faults: Faults,
+    counts: CallCounts,
+    window: Timestamp,
+    window_reads: u32,
+    window_writes: u32,
+}
+
+impl ObjectStore {
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> CallCounts {
+        self.counts
+    }
+
+    /// Reads an object.
+    pub fn get(&mut self, name: &str, now: Timestamp) -> Result<Option<Object>, PlatformError> {
+        self.count_read(now)?;
+        Ok(self.objects.get(name).cloned())
+    }
+
+    /// Lists objects by prefix.
+    pub fn list(&mut self, prefix: &str, now: Timestamp) -> Result<Vec<ObjectMeta>, PlatformError> {
+        self.count_read(now)?;
+        let from = self.objects.range(prefix.to_owned()..);
+        let matching = from.take_while(|(name, _)| name.starts_with(prefix));
+        let meta = |(name, object): (&String, &Object)| ObjectMeta {
+            name: name.clone(),
+            version: object.version,
+        };
+        Ok(matching.map(meta).collect())
+    }
+
+    /// Writes an object if it is as expected.
+    pub fn put(
+        &mut self,
+        name: &str,
+        value: &[u8],
+        expected: Expected,
+        now: Timestamp,
+    ) -> Result<u64, PlatformError> {
+        self.count_write(now)?;
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(PlatformError::TooLarge { bytes: value.len() });
+        }
+        self.check_expected(name, expected)?;
+        self.last_version += 1;
+        let version = self.last_version;
+        self.objects.insert(
+            name.to_owned(),
+            Object {
+                version,
+                value: value.to_vec(),
+            },
+        );
+        self.lose_answer()?;
+        Ok(version)
+    }
+
+    /// Removes an object if it has this version.
+    pub fn delete(
+        &mut self,
+        name: &str,
+        version: u64,
+        now: Timestamp,
+    ) -> Result<(), PlatformError> {
+        self.count_write(now)?;
+        self.check_expected(name, Expected::Version(version))?;
+        self.last_version += 1;
+        self.objects.remove(name);
+        self.lose_answer()
+    }
+
+    /// Reads without counting, for a watch that already counted and for tests.
+    pub fn peek(&self, name: &str) -> Option<&Object> {
+        self.objects.get(name)
+    }
+
+    /// Counts the start of a watch.
+    pub fn start_watch(&mut self, now: Timestamp) -> Result<(), PlatformError> {
+        self.count_read(now)
+    }
+
+    fn check_expected(&self, name: &str, expected: Expected) -> Result<(), PlatformError> {
+        let current = self.objects.get(name).map_or(0, |object| object.version);
+        let is_met = match expected {
+            Expected::Absent => current == 0,
+            Expected::Version(version) => current == version && version != 0,
+        };
+        if is_met {
+            Ok(())
+        } else {
+            Err(PlatformError::Conflict { current })
+        }
+    }
+
+    fn lose_answer(&mut self) -> Result<(), PlatformError> {
+        if self.faults.lost_answers == 0 {
+            return Ok(());
+        }
+        self.faults.lost_answers -= 1;
+        Err(PlatformError::AnswerLost("injected fault".to_owned()))
+    }
+
+    fn count_read(&mut self, now: Timestamp) -> Result<(), PlatformError> {
+        self.check_up(now)?;
+        if self
+            .faults
+            .reads_per_second
+            .is_some_and(|limit| self.window_reads >= limit)
+        {
+            self.counts.refused += 1;
+            return Err(PlatformError::RateLimited);
+        }
+        self.window_reads += 1;
+        self.counts.reads += 1;
+        Ok(())
+    }
+
+    fn count_write(&mut self, now: Timestamp) -> Result<(), PlatformError> {
+        self.check_up(now)?;
+        if self
+            .faults
+            .writes_per_second
+            .is_some_and(|limit| self.window_writes >= limit)
+        {
+            self.counts.refused += 1;
+            return Err(PlatformError::RateLimited);
+        }
+        self.window_writes += 1;
+        self.counts.writes += 1;
+        Ok(())
+    }
+
+    fn check_up(&mut self, now: Timestamp) -> Result<(), PlatformError> {
+        if self.faults.is_down {
+            return Err(PlatformError::Unreachable("injected outage".to_owned()));
+        }
+        if now.since(self.window).as_millis() as u64 >= RATE_WINDOW_MS {
+            self.window = now;
+            self.window_reads = 0;
+            self.window_writes = 0;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-platform/src/traits.rs
@@ -0,0 +1,58 @@
+//! What the daemon and the operator's tool need of the platform.
+
+use std::time::Duration;
+
+use crate::error::PlatformError;
+use crate::object::{Expected, Object, ObjectMeta};
+
+/// The platform's object API. Each call counts against the platform's rates; a waiting watch
+/// counts as one call.
+pub trait Platform: Send + Sync + 'static {
+    /// Reads an object; `None` if it does not exist.
+    fn get(&self, name: &str) -> Result<Option<Object>, PlatformError>;
+
+    /// Names and versions of the objects whose names start with `prefix`, in the order of names.
+    fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, PlatformError>;
+
+    /// Writes an object if it is as expected, and returns its new version.
+    fn put(&self, name: &str, value: &[u8], expected: Expected) -> Result<u64, PlatformError>;
+
+    /// Removes an object if it has this version.
+    fn delete(&self, name: &str, version: u64) -> Result<(), PlatformError>;
+
+    /// Waits until the object has a version other than `seen` (zero for an absent object) and
+    /// reads it. `None` if that did not happen within `timeout`.
+    fn watch(
+        &self,
+        name: &str,
+        seen: u64,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError>;
+}
+
+impl<P: Platform> Platform for std::sync::Arc<P> {
+    fn get(&self, name: &str) -> Result<Option<Object>, PlatformError> {
+        P::get(self, name)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, PlatformError> {
+        P::list(self, prefix)
+    }
+
+    fn put(&self, name: &str, value: &[u8], expected: Expected) -> Result<u64, PlatformError> {
+        P::put(self, name, value, expected)
+    }
+
+    fn delete(&self, name: &str, version: u64) -> Result<(), PlatformError> {
+        P::delete(self, name, version)
+    }
+
+    fn watch(
+        &self,
+        name: &str,
+        seen: u64,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        P::watch(self, name, seen, timeout)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-standin/src/backend.rs
@@ -0,0 +1,186 @@
+//! The stand-in as an HTTP server.
+//!
+//! `GET /health` and `GET /load` say what the behaviour tells them to. Each other request runs in a
+//! slot and is answered with the name of the stand-in, the method, the target and the body.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::call::{DEADLINE_HEADER, KEY_HEADER};
+use lavenderhatch_core::{Error, ErrorKind};
+use oxhttp::model::{Body, Request, Response, StatusCode};
+use oxhttp::{ListeningServer, Server};
+
+use crate::behaviour::Behaviour;
+use crate::slots::Slots;
+
+/// Time after which a silent connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time allowed for a request that names no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// What a stand-in has run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunCounts {
+    /// Requests that ran.
+    pub total: u64,
+    /// Requests that ran, by idempotency key.
+    pub by_key: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    name: String,
+    behaviour: RwLock<Behaviour>,
+    slots: Slots,
+    started: AtomicU64,
+    counts: Mutex<RunCounts>,
+}
+
+/// A running stand-in. Its threads end with the process.
+pub struct BackendStandin {
+    state: Arc<State>,
+    addr: SocketAddr,
+    _listening: ListeningServer,
+}
+
+impl BackendStandin {
+    /// Binds the address and answers requests.
+    pub fn bind(addr: SocketAddr, name: &str, behaviour: Behaviour) -> Result<Self, Error> {
+        let state = State {
+            name: name.to_owned(),
+            behaviour: RwLock::new(behaviour),
+            ..State::default()
+        };
+        let state = Arc::new(state);
+        let shared = Arc::clone(&state);
+        let server = Server::new(move |req| answer(&shared, req))
+            .bind(addr)
+            .with_global_timeout(IDLE_TIMEOUT);
+        let listening = server.spawn().map_err(|err| {
+            Error::new(
+                ErrorKind::Internal,
+                format!("cannot listen on {addr}: {err}"),
+            )
+        })?;
+        Ok(Self {
+            state,
+            addr,
+            _listening: listening,
+        })
+    }
+
+    /// Where the stand-in listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes the behaviour for requests that arrive from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        let mut present = self
+            .state
+            .behaviour
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *present = behaviour;
+    }
+
+    /// What has run so far.
+    pub fn counts(&self) -> RunCounts {
+        self.state
+            .counts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Requests that run now.
+    pub fn in_flight(&self) -> u32 {
+        self.state.slots.taken()
+    }
+}
+
+fn answer(state: &State, req: &mut Request<Body>) -> Response<Body> {
+    let behaviour = state
+        .behaviour
+        .read()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    match (req.method().as_str(), req.uri().path()) {
+        ("GET", "/health") => match behaviour.claims_healthy {
+            true => text(200, "ok\n"),
+            false => text(503, "not ok\n"),
+        },
+        ("GET", "/load") => {
+            let load = behaviour
+                .claimed_load
+                .unwrap_or_else(|| state.slots.taken());
+            text(200, &format!("{load}\n"))
+        }
+        _ => run(state, &behaviour, req),
+    }
+}
+
+fn run(state: &State, behaviour: &Behaviour, req: &mut Request<Body>) -> Response<Body> {
+    let mut body = Vec::new();
+    if req.body_mut().read_to_end(&mut body).is_err() {
+        return text(400, "the body ended early\n");
+    }
+    let deadline = Instant::now() + time_left(req);
+    if !state.slots.take(behaviour.slots, deadline) {
+        return text(503, "no slot before the deadline\n");
+    }
+    let number = state.started.fetch_add(1, Ordering::Relaxed) + 1;
+    count(state, req);
+    let cold = if number <= behaviour.cold_requests {
+        behaviour.cold_extra_ms
+    } else {
+        0
+    };
+    state
+        .slots
+        .work(Duration::from_millis(behaviour.service_ms + cold));
+    state.slots.free();
+    if behaviour.fail_every != 0 && number.is_multiple_of(behaviour.fail_every) {
+        return text(500, "injected failure\n");
+    }
+    let target = req
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let head = format!("{} {} {target}\n", state.name, req.method());
+    let mut answer = head.into_bytes();
+    answer.extend_from_slice(&body);
+    Response::new(Body::from(answer))
+}
+
+fn time_left(req: &Request<Body>) -> Duration {
+    let header = req
+        .headers()
+        .get(DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok());
+    let millis = header.and_then(|text| text.parse().ok());
+    millis.map_or(DEFAULT_DEADLINE, Duration::from_millis)
+}
+
+fn count(state: &State, req: &Request<Body>) {
+    let key = req
+        .headers()
+        .get(KEY_HEADER)
+        .and_then(|value| value.to_str().ok());
+    let mut counts = state.counts.lock().unwrap_or_else(PoisonError::into_inner);
+    counts.total += 1;
+    if let Some(key) = key {
+        *counts.by_key.entry(key.to_owned()).or_default() += 1;
+    }
+}
+
+fn text(code: u16, message: &str) -> Response<Body> {
+    let mut res = Response::new(Body::from(message.to_owned()));
+    *res.status_mut() = StatusCode::from_u16(code).unwrap_or_default();
+    res
+}
--- /dev/null
+++ b/crates/lavenderhatch-standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! A back end for tests, the demonstration and measurements.
+//!
+//! It runs a request in one of its slots for a set time, counts what it ran, and can start cold,
+//! fail, or say something misleading about its health and load.
+
+mod backend;
+mod behaviour;
+mod slots;
+
+pub use backend::{BackendStandin, RunCounts};
+pub use behaviour::Behaviour;
