--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/admin.rs
@@ -0,0 +1,7 @@
+//! Status, configuration and metrics over HTTP, for the operator's tool.
+
+mod port;
+mod status;
+
+pub use port::AdminPort;
+pub use status::{DaemonStatus, MemberStatus};
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/admin/status.rs
@@ -0,0 +1,64 @@
+//! What a daemon says about itself and the members that it knows.
+
+use std::collections::BTreeMap;
+
+use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_core::drain::StopStatus;
+use lavenderhatch_core::load::LoadView;
+use lavenderhatch_core::{MemberRecord, NodeId, StopName, Timestamp, Version};
+use serde::{Deserialize, Serialize};
+
+/// A member as a daemon sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The member's record.
+    pub record: MemberRecord,
+    /// Version that the member held at its last heartbeat, if it is linked to this daemon.
+    pub version: Option<Version>,
+}
+
+/// Answer of `GET /status`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonStatus {
+    /// This daemon.
+    pub node: NodeId,
+    /// Version in force on this daemon, zero if there is none.
+    pub version: Version,
+    /// When it was put in force.
+    pub applied_at: Option<Timestamp>,
+    /// Members that this daemon knows, itself included.
+    pub members: Vec<MemberStatus>,
+    /// Planned stops.
+    pub stops: BTreeMap<StopName, StopStatus>,
+    /// Load of this backend server.
+    pub load: LoadView,
+}
+
+impl DaemonStatus {
+    /// Reads the blackboard of the daemon named `node`.
+    pub fn from_board(node: &NodeId, board: &Blackboard) -> Self {
+        let config = board.config.load();
+        let config = config.as_ref().as_ref();
+        let version = config.map_or(Version::NONE, |config| config.version);
+        let members = board.members.load();
+        let status = |record: &MemberRecord| MemberStatus {
+            record: record.clone(),
+            version: match record.id == *node {
+                true => Some(version),
+                false => members.heard.get(&record.id).map(|heard| heard.version),
+            },
+        };
+        Self {
+            node: node.clone(),
+            version,
+            applied_at: config.map(|config| config.applied_at),
+            members: members
+                .by_id
+                .values()
+                .map(|record| status(record))
+                .collect(),
+            stops: board.drains.load().stops.clone(),
+            load: LoadView::clone(&board.load.load()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -0,0 +1,20 @@
+//! Controllers: threads that read and write the blackboard.
+//!
+//! A controller blocks on its channels and a timer, calls deciding functions, and publishes the one
+//! section that it owns. Controllers depend on the blackboard and never on each other.
+
+mod audit;
+mod distribution;
+mod endpoint;
+mod handle;
+mod membership;
+mod platform_reader;
+
+pub(crate) use platform_reader::news_channel;
+
+pub use audit::{AuditController, AuditSender};
+pub use distribution::DistributionController;
+pub use endpoint::EndpointController;
+pub use handle::ControllerHandle;
+pub use membership::MembershipController;
+pub use platform_reader::{PlatformReader, RootNews};
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -0,0 +1,136 @@
+//! A running daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::bounded;
+use eyre::Result;
+use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_core::{Incarnation, MemberRecord, MemberState, Timestamp};
+use lavenderhatch_files::Settings;
+use lavenderhatch_platform::Platform;
+use prometheus::Registry;
+use tracing::info;
+
+use crate::admin::AdminPort;
+use crate::controller::{
+    AuditController, ControllerHandle, DistributionController, EndpointController,
+    MembershipController, PlatformReader,
+};
+use crate::peer::{Inboxes, PeerLinks, PeerPort};
+use crate::request::{CallerPort, CarryWorkers, HttpBackend, RequestPath};
+
+/// Requests of peers that wait for a controller. More are refused.
+const CONTROL_QUEUE: usize = 1024;
+/// Calls of peers that wait for a thread. More are refused.
+const CARRY_QUEUE: usize = 4096;
+/// Threads that run calls of peers.
+const CARRY_THREADS: usize = 32;
+/// Slots of a backend server whose service is not described yet.
+const DEFAULT_SLOTS: u32 = 12;
+
+/// A running daemon. Dropping it ends its controllers; its ports end with the process.
+pub struct Daemon {
+    board: Blackboard,
+    _controllers: Vec<ControllerHandle>,
+    _callers: CallerPort,
+    _admin: AdminPort,
+}
+
+impl Daemon {
+    /// Starts the controllers and binds the ports.
+    pub fn spawn<P: Platform + Clone>(settings: &Settings, platform: P) -> Result<Self> {
+        let (board, writers) = Blackboard::open();
+        let own = own_record(settings, Timestamp::from_system_clock());
+        let (heartbeats_tx, heartbeats) = bounded(CONTROL_QUEUE);
+        let (distribution_tx, requests) = bounded(CONTROL_QUEUE);
+        let (orders, _) = bounded(CONTROL_QUEUE);
+        let (carry, jobs) = bounded(CARRY_QUEUE);
+        let inboxes = Inboxes {
+            heartbeats: heartbeats_tx,
+            distribution: distribution_tx,
+            orders,
+            carry,
+        };
+        PeerPort::bind(settings.peer_addr, settings.peer_threads, &inboxes)?;
+        let links = PeerLinks::spawn(settings.peer_threads)?;
+        let (audit, events) = AuditController::channel();
+        let (news_tx, news) = crate::controller::news_channel();
+        let controllers = vec![
+            AuditController::spawn(events, writers.audit)?,
+            MembershipController {
+                own,
+                platform: platform.clone(),
+                config: board.config.clone(),
+                members: writers.members,
+                heartbeats,
+                links: links.clone(),
+            }
+            .spawn()?,
+            EndpointController {
+                members: board.members.clone(),
+                endpoints: writers.endpoints,
+            }
+            .spawn()?,
+            DistributionController {
+                own: settings.node.clone(),
+                members: board.members.clone(),
+                config: writers.config,
+                requests,
+                news,
+                links: links.clone(),
+                audit,
+            }
+            .spawn()?,
+            PlatformReader::spawn(platform, news_tx)?,
+        ];
+        let backend = HttpBackend::open(settings.backend_addr);
+        let path = RequestPath::new(settings.node.clone(), board.clone(), backend, links);
+        let path = Arc::new(path);
+        CarryWorkers::spawn(CARRY_THREADS, &jobs, &path)?;
+        let callers = CallerPort::bind(
+            settings.caller_addr,
+            settings.max_connections,
+            Duration::from_millis(settings.idle_timeout_ms),
+            board.config.clone(),
+            path,
+        )?;
+        let admin = AdminPort::bind(
+            settings.admin_addr,
+            settings.node.clone(),
+            board.clone(),
+            Registry::new(),
+        )?;
+        info!(
+            "daemon: {} takes calls on {}",
+            settings.node,
+            callers.addr()
+        );
+        Ok(Self {
+            board,
+            _controllers: controllers,
+            _callers: callers,
+            _admin: admin,
+        })
+    }
+
+    /// The daemon's blackboard.
+    pub fn board(&self) -> &Blackboard {
+        &self.board
+    }
+}
+
+fn own_record(settings: &Settings, now: Timestamp) -> MemberRecord {
+    MemberRecord {
+        id: settings.node.clone(),
+        incarnation: Incarnation(now.as_millis()),
+        seq: 1,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        service: settings.service.clone(),
+        peer_addr: settings.peer_addr,
+        admin_addr: settings.admin_addr,
+        slots: DEFAULT_SLOTS,
+        state: MemberState::Serving,
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/lib.rs
@@ -0,0 +1,17 @@
+//! The lavenderhatch daemon: everything with a thread or a socket.
+//!
+//! [`Daemon::spawn`] opens the blackboard, starts the controllers and binds three ports: for
+//! callers, for other daemons, and for administration.
+//!
+//! - [`request`]: the path of a call, from the caller port to a back end.
+//! - [`peer`]: links to other daemons and the port that serves them.
+//! - [`controller`]: threads that read and write the blackboard.
+//! - [`admin`]: status, configuration and metrics over HTTP.
+
+pub mod admin;
+pub mod controller;
+mod daemon;
+pub mod peer;
+pub mod request;
+
+pub use daemon::Daemon;
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/connection.rs
@@ -0,0 +1,86 @@
+//! Connections to other daemons, kept on the thread that uses them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
+use lavenderhatch_wire::MAX_TRAVERSAL_WORDS;
+use lavenderhatch_wire::peer_capnp::peer;
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::error::PeerError;
+
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Deepest nesting of a received message.
+const NESTING_LIMIT: i32 = 32;
+
+/// Limits on received messages.
+pub(super) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_TRAVERSAL_WORDS));
+    options.nesting_limit(NESTING_LIMIT);
+    options
+}
+
+type Link = Rc<OnceCell<peer::Client>>;
+
+/// Open connections by address.
+#[derive(Clone, Default)]
+pub(super) struct Connections {
+    links: Rc<RefCell<HashMap<SocketAddr, Link>>>,
+}
+
+impl Connections {
+    /// The client of a daemon; connects if there is no connection. Calls that arrive while the
+    /// connection is being made wait for it.
+    pub(super) async fn client(&self, addr: SocketAddr) -> Result<peer::Client, PeerError> {
+        let link = self.links.borrow_mut().entry(addr).or_default().clone();
+        let client = link.get_or_try_init(|| self.connect(addr, &link)).await;
+        client.cloned().inspect_err(|_| self.remove(addr, &link))
+    }
+
+    async fn connect(&self, addr: SocketAddr, link: &Link) -> Result<peer::Client, PeerError> {
+        let not_sent = |err: std::io::Error| PeerError::NotSent(format!("{addr}: {err}"));
+        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+            Ok(stream) => stream.map_err(not_sent)?,
+            Err(_) => return Err(PeerError::NotSent(format!("{addr}: connect timed out"))),
+        };
+        stream.set_nodelay(true).map_err(not_sent)?;
+        let (reader, writer) = stream.into_split();
+        let network = VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            reader_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client = system.bootstrap(Side::Server);
+        let connections = self.clone();
+        let link = Rc::clone(link);
+        spawn_local(async move {
+            let _ = system.await;
+            connections.remove(addr, &link);
+        });
+        Ok(client)
+    }
+
+    fn remove(&self, addr: SocketAddr, link: &Link) {
+        let mut links = self.links.borrow_mut();
+        if links
+            .get(&addr)
+            .is_some_and(|present| Rc::ptr_eq(present, link))
+        {
+            links.remove(&addr);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/error.rs
@@ -0,0 +1,35 @@
+//! Errors of calls to other daemons.
+
+use lavenderhatch_core::{Error, ErrorKind};
+
+/// Why a call to another daemon failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// The message was not sent.
+    #[error("peer cannot be reached: {0}")]
+    NotSent(String),
+    /// The message was sent and no answer came.
+    #[error("peer did not answer: {0}")]
+    NoAnswer(String),
+    /// The time allowed for the call passed after the message was sent.
+    #[error("peer did not answer in time")]
+    TimedOut,
+}
+
+impl PeerError {
+    /// Whether the peer may have acted on the message.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, PeerError::NotSent(_))
+    }
+}
+
+impl From<PeerError> for Error {
+    fn from(err: PeerError) -> Error {
+        let kind = match err {
+            PeerError::NotSent(_) => ErrorKind::NoBackend,
+            PeerError::NoAnswer(_) => ErrorKind::OutcomeUnknown,
+            PeerError::TimedOut => ErrorKind::DeadlinePassed,
+        };
+        Error::new(kind, err.to_string())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/inbox.rs
@@ -0,0 +1,95 @@
+//! Requests from other daemons on their way to the threads that decide.
+
+use crossbeam::channel::Sender;
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use lavenderhatch_core::{Digest, Version};
+use lavenderhatch_decide::message::{
+    Claim, ClaimVerdict, Hello, OutcomeRecord, Update, UpdateRequest,
+};
+use tokio::sync::oneshot;
+
+/// Where the answer to a request of a peer goes.
+#[derive(Debug)]
+pub struct Reply<T>(oneshot::Sender<T>);
+
+impl<T> Reply<T> {
+    /// A reply and the end at which it arrives.
+    pub fn channel() -> (Self, oneshot::Receiver<T>) {
+        let (tx, rx) = oneshot::channel();
+        (Self(tx), rx)
+    }
+
+    /// Answers. Does nothing if the peer has gone.
+    pub fn send(self, answer: T) {
+        let _ = self.0.send(answer);
+    }
+
+    /// Whether nobody waits for the answer any more.
+    pub fn is_abandoned(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// A heartbeat from another daemon.
+#[derive(Debug)]
+pub struct HeartbeatRequest {
+    /// The heartbeat.
+    pub hello: Hello,
+    /// Where this daemon's own state goes.
+    pub reply: Reply<Hello>,
+}
+
+/// A request that concerns the distribution of the configuration.
+#[derive(Debug)]
+pub enum DistributionRequest {
+    /// A peer announces a version.
+    Announce {
+        /// Version in force on the peer.
+        version: Version,
+        /// Digest of its mesh.
+        digest: Digest,
+    },
+    /// A peer asks for an update.
+    Update {
+        /// What it asks for.
+        req: UpdateRequest,
+        /// Where the update goes.
+        reply: Reply<Update>,
+    },
+}
+
+/// A request that concerns orders.
+#[derive(Debug)]
+pub enum OrderRequest {
+    /// A peer asks for the right to run an order.
+    Claim {
+        /// The claim.
+        claim: Claim,
+        /// Where the verdict goes.
+        reply: Reply<ClaimVerdict>,
+    },
+    /// A peer reports what became of a granted claim.
+    Outcome(OutcomeRecord),
+}
+
+/// A call that a peer has handed over.
+#[derive(Debug)]
+pub struct CarryJob {
+    /// The call.
+    pub call: StoredCall,
+    /// Where the answer goes.
+    pub reply: Reply<CallAnswer>,
+}
+
+/// Channels to the threads that decide on requests of peers.
+#[derive(Clone, Debug)]
+pub struct Inboxes {
+    /// Heartbeats, to the membership controller.
+    pub heartbeats: Sender<HeartbeatRequest>,
+    /// Announcements and update requests, to the distribution controller.
+    pub distribution: Sender<DistributionRequest>,
+    /// Claims and outcomes, to the order controller.
+    pub orders: Sender<OrderRequest>,
+    /// Calls, to the threads that run them.
+    pub carry: Sender<CarryJob>,
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/links.rs
@@ -0,0 +1,196 @@
+//! The handle through which threads call other daemons.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use capnp::capability::{Promise, Response};
+use capnp::traits::Owned;
+use crossbeam::channel::{Sender, bounded};
+use eyre::Result;
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use lavenderhatch_wire::{
+    WireError, read_answer, read_hello, read_update, read_verdict, write_call, write_claim,
+    write_hello, write_outcome,
+};
+use tokio::runtime::Builder;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+use tracing::warn;
+
+use super::command::{PeerCommand, PeerReply};
+use super::connection::Connections;
+use super::error::PeerError;
+
+/// Time for the answer to a heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the answer to an update request, which may hold a whole mesh.
+const UPDATE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A message with its destination.
+struct Addressed {
+    addr: SocketAddr,
+    command: PeerCommand,
+}
+
+/// Links to other daemons. Clones share the same threads and connections.
+#[derive(Clone, Debug)]
+pub struct PeerLinks {
+    /// One queue for each thread. Invariant: not empty.
+    queues: Arc<[UnboundedSender<Addressed>]>,
+}
+
+impl PeerLinks {
+    /// Starts `threads` threads. Each daemon is served by one of them.
+    pub fn spawn(threads: usize) -> Result<Self> {
+        let mut queues = Vec::with_capacity(threads);
+        for n in 0..threads.max(1) {
+            let (tx, rx) = unbounded_channel();
+            let name = format!("peer-link-{n}");
+            thread::Builder::new().name(name).spawn(move || run(rx))?;
+            queues.push(tx);
+        }
+        Ok(Self {
+            queues: queues.into(),
+        })
+    }
+
+    /// Sends a message. Its answer arrives on the channel that it carries.
+    pub fn send(&self, addr: SocketAddr, command: PeerCommand) {
+        let mut hasher = DefaultHasher::new();
+        addr.hash(&mut hasher);
+        let at = hasher.finish() as usize % self.queues.len();
+        // The thread ends only with the process; a message that meets its end gets no answer.
+        let _ = self.queues[at].send(Addressed { addr, command });
+    }
+
+    /// Hands over a call and waits for its answer.
+    pub fn carry(
+        &self,
+        addr: SocketAddr,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+    ) -> Result<CallAnswer, PeerError> {
+        let (done, rx) = bounded(1);
+        let call = Arc::clone(call);
+        self.send(
+            addr,
+            PeerCommand::Carry {
+                call,
+                timeout: time_left,
+                done,
+            },
+        );
+        match rx.recv() {
+            Ok(reply) => reply.result,
+            Err(_) => Err(PeerError::NoAnswer("the link has ended".to_owned())),
+        }
+    }
+}
+
+fn run(rx: UnboundedReceiver<Addressed>) {
+    match Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => LocalSet::new().block_on(&rt, serve(rx)),
+        Err(err) => warn!("peer: cannot start the executor: {err}"),
+    }
+}
+
+async fn serve(mut rx: UnboundedReceiver<Addressed>) {
+    let connections = Connections::default();
+    while let Some(Addressed { addr, command }) = rx.recv().await {
+        spawn_local(execute(connections.clone(), addr, command));
+    }
+}
+
+async fn execute(connections: Connections, addr: SocketAddr, command: PeerCommand) {
+    match command {
+        PeerCommand::Heartbeat { hello, done } => {
+            let result = async {
+                let mut req = connections.client(addr).await?.heartbeat_request();
+                write_hello(&hello, req.get().init_hello());
+                let res = answer(HEARTBEAT_TIMEOUT, req.send().promise).await?;
+                read(res.get().and_then(|res| res.get_hello()), read_hello)
+            };
+            reply(&done, addr, result.await);
+        }
+        PeerCommand::Announce { version, digest } => {
+            let Ok(client) = connections.client(addr).await else {
+                return;
+            };
+            let mut req = client.announce_request();
+            req.get().set_version(version.0);
+            req.get().set_digest(digest.as_bytes());
+            let _ = answer(HEARTBEAT_TIMEOUT, req.send().promise).await;
+        }
+        PeerCommand::Update { req: asked, done } => {
+            let result = async {
+                let mut req = connections.client(addr).await?.update_request();
+                req.get().set_held(asked.held.0);
+                req.get().set_want(asked.want.0);
+                let res = answer(UPDATE_TIMEOUT, req.send().promise).await?;
+                read(res.get().and_then(|res| res.get_update()), read_update)
+            };
+            reply(&done, addr, result.await);
+        }
+        PeerCommand::Carry {
+            call,
+            timeout,
+            done,
+        } => {
+            let result = async {
+                let mut req = connections.client(addr).await?.carry_request();
+                write_call(&call.view(), req.get().init_call());
+                let res = answer(timeout, req.send().promise).await?;
+                read(res.get().and_then(|res| res.get_answer()), read_answer)
+            };
+            reply(&done, addr, result.await);
+        }
+        PeerCommand::Claim {
+            claim,
+            timeout,
+            done,
+        } => {
+            let result = async {
+                let mut req = connections.client(addr).await?.claim_request();
+                write_claim(&claim, req.get().init_claim());
+                let res = answer(timeout, req.send().promise).await?;
+                read(res.get().and_then(|res| res.get_verdict()), read_verdict)
+            };
+            reply(&done, addr, result.await);
+        }
+        PeerCommand::Outcome { record } => {
+            let Ok(client) = connections.client(addr).await else {
+                return;
+            };
+            let mut req = client.outcome_request();
+            write_outcome(&record, req.get().init_record());
+            let _ = answer(HEARTBEAT_TIMEOUT, req.send().promise).await;
+        }
+    }
+}
+
+async fn answer<R: Owned>(
+    limit: Duration,
+    promise: Promise<Response<R>, capnp::Error>,
+) -> Result<Response<R>, PeerError> {
+    match timeout(limit, promise).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(err)) => Err(PeerError::NoAnswer(err.to_string())),
+        Err(_) => Err(PeerError::TimedOut),
+    }
+}
+
+fn read<M, T>(
+    msg: Result<M, capnp::Error>,
+    read: impl FnOnce(M) -> Result<T, WireError>,
+) -> Result<T, PeerError> {
+    let value = msg.map_err(WireError::from).and_then(read);
+    value.map_err(|err| PeerError::NoAnswer(err.to_string()))
+}
+
+fn reply<T>(done: &Sender<PeerReply<T>>, addr: SocketAddr, result: Result<T, PeerError>) {
+    let _ = done.send(PeerReply { addr, result });
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/port.rs
@@ -0,0 +1,94 @@
+//! The port for other daemons.
+
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
+use eyre::{Context, Result};
+use lavenderhatch_wire::peer_capnp::peer;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::task::{LocalSet, spawn_local};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tracing::{debug, warn};
+
+use super::connection::reader_options;
+use super::inbox::Inboxes;
+use super::service::PeerService;
+
+/// A bound port for other daemons. Its threads end with the process.
+#[derive(Debug)]
+pub struct PeerPort {
+    addr: SocketAddr,
+}
+
+impl PeerPort {
+    /// Binds the address and serves peers on `threads` threads.
+    pub fn bind(addr: SocketAddr, threads: usize, inboxes: &Inboxes) -> Result<Self> {
+        let listener = TcpListener::bind(addr).wrap_err_with(|| format!("cannot bind {addr}"))?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        for n in 0..threads {
+            let listener = listener.try_clone()?;
+            let inboxes = inboxes.clone();
+            let name = format!("peer-port-{n}");
+            thread::Builder::new()
+                .name(name)
+                .spawn(move || serve(listener, inboxes))?;
+        }
+        Ok(Self { addr })
+    }
+
+    /// The bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+fn serve(listener: TcpListener, inboxes: Inboxes) {
+    let rt = match Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => rt,
+        Err(err) => return warn!("peer: cannot start the executor: {err}"),
+    };
+    LocalSet::new().block_on(&rt, accept_all(listener, inboxes));
+}
+
+async fn accept_all(listener: TcpListener, inboxes: Inboxes) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(err) => return warn!("peer: cannot listen: {err}"),
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, addr)) => {
+                spawn_local(serve_stream(stream, addr, inboxes.clone()));
+            }
+            Err(err) => {
+                warn!("peer: cannot accept: {err}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+/// Wait after a failed accept, which fails again at once while file descriptors are short.
+const ACCEPT_BACKOFF: std::time::Duration = std::time::Duration::from_millis(100);
+
+async fn serve_stream(stream: TcpStream, addr: SocketAddr, inboxes: Inboxes) {
+    if let Err(err) = stream.set_nodelay(true) {
+        return debug!("peer: {addr} closed at once: {err}");
+    }
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        Side::Server,
+        reader_options(),
+    );
+    let client: peer::Client = capnp_rpc::new_client(PeerService::new(inboxes));
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    if let Err(err) = system.await {
+        debug!("peer: link from {addr} ended: {err}");
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/peer/service.rs
@@ -0,0 +1,115 @@
+//! The capnp-rpc service that other daemons call.
+
+use std::rc::Rc;
+
+use capnp::Error;
+use crossbeam::channel::Sender;
+use lavenderhatch_core::Version;
+use lavenderhatch_decide::message::UpdateRequest;
+use lavenderhatch_wire::peer_capnp::peer;
+use lavenderhatch_wire::{
+    read_call, read_claim, read_digest, read_hello, read_outcome, write_answer, write_hello,
+    write_update, write_verdict,
+};
+
+use super::inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
+
+/// Checks each message and hands it to the thread that decides on it.
+pub(super) struct PeerService {
+    inboxes: Inboxes,
+}
+
+impl PeerService {
+    pub(super) fn new(inboxes: Inboxes) -> Self {
+        Self { inboxes }
+    }
+}
+
+impl peer::Server for PeerService {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer::HeartbeatParams,
+        mut results: peer::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let hello = read_hello(params.get()?.get_hello()?)?;
+        let make = |reply| HeartbeatRequest { hello, reply };
+        let own = hand_over(&self.inboxes.heartbeats, make).await?;
+        write_hello(&own, results.get().init_hello());
+        Ok(())
+    }
+
+    async fn announce(
+        self: Rc<Self>,
+        params: peer::AnnounceParams,
+        _results: peer::AnnounceResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let version = Version(params.get_version());
+        let digest = read_digest("digest", params.get_digest()?)?;
+        post(
+            &self.inboxes.distribution,
+            DistributionRequest::Announce { version, digest },
+        )
+    }
+
+    async fn update(
+        self: Rc<Self>,
+        params: peer::UpdateParams,
+        mut results: peer::UpdateResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let held = Version(params.get_held());
+        let want = Version(params.get_want());
+        let req = UpdateRequest { held, want };
+        let make = |reply| DistributionRequest::Update { req, reply };
+        let update = hand_over(&self.inboxes.distribution, make).await?;
+        write_update(&update, results.get().init_update());
+        Ok(())
+    }
+
+    async fn carry(
+        self: Rc<Self>,
+        params: peer::CarryParams,
+        mut results: peer::CarryResults,
+    ) -> Result<(), Error> {
+        let call = read_call(params.get()?.get_call()?)?;
+        drop(params);
+        let answer = hand_over(&self.inboxes.carry, |reply| CarryJob { call, reply }).await?;
+        write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: peer::ClaimParams,
+        mut results: peer::ClaimResults,
+    ) -> Result<(), Error> {
+        let claim = read_claim(params.get()?.get_claim()?)?;
+        let make = |reply| OrderRequest::Claim { claim, reply };
+        let verdict = hand_over(&self.inboxes.orders, make).await?;
+        write_verdict(&verdict, results.get().init_verdict());
+        Ok(())
+    }
+
+    async fn outcome(
+        self: Rc<Self>,
+        params: peer::OutcomeParams,
+        _results: peer::OutcomeResults,
+    ) -> Result<(), Error> {
+        let record = read_outcome(params.get()?.get_record()?)?;
+        post(&self.inboxes.orders, OrderRequest::Outcome(record))
+    }
+}
+
+/// Hands a request over and waits for its answer.
+async fn hand_over<Q, A>(inbox: &Sender<Q>, make: impl FnOnce(Reply<A>) -> Q) -> Result<A, Error> {
+    let (reply, rx) = Reply::channel();
+    post(inbox, make(reply))?;
+    rx.await
+        .map_err(|_| Error::failed("the request was dropped".to_owned()))
+}
+
+fn post<Q>(inbox: &Sender<Q>, req: Q) -> Result<(), Error> {
+    let sent = inbox.try_send(req);
+    sent.map_err(|_| Error::overloaded("the inbox is full".to_owned()))
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/backend.rs
@@ -0,0 +1,173 @@
+//! The back end beside this daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lavenderhatch_core::call::{CallAnswer, CallView, DEADLINE_HEADER, DEPTH_HEADER, Header};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{Error, ErrorKind};
+use ureq::http::{Request, Response, request};
+use ureq::{Agent, AsSendBody, Body, Timeout};
+
+/// Time for a connection to the back end to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle connections that are kept to the back end.
+const MAX_IDLE_CONNECTIONS: usize = 256;
+/// Largest answer of a back end, in bytes.
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Headers that concern one connection and are not passed on.
+const CONNECTION_HEADERS: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header is passed on.
+pub(super) fn is_passed_on(name: &str) -> bool {
+    !CONNECTION_HEADERS.contains(&name)
+}
+
+/// Runs calls on the back end of this backend server.
+pub trait Backend: Send + Sync + 'static {
+    /// Runs a call and gives the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// An error whose kind says "not run" is returned only if the back end got no byte of the call.
+    fn run(&self, call: &CallView<'_>, time_left: Duration) -> Result<CallAnswer, Error>;
+}
+
+/// A back end over HTTP, through pooled connections that are kept open.
+#[derive(Clone, Debug)]
+pub struct HttpBackend {
+    agent: Agent,
+    base: String,
+}
+
+impl HttpBackend {
+    /// A client of the back end at `addr`. No connection is made yet.
+    pub fn open(addr: SocketAddr) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .allow_non_standard_methods(true)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .max_idle_connections(MAX_IDLE_CONNECTIONS)
+            .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS)
+            .user_agent("")
+            .accept("")
+            .build();
+        Self {
+            agent: config.into(),
+            base: format!("http://{addr}"),
+        }
+    }
+
+    fn send(
+        &self,
+        call: &CallView<'_>,
+        time_left: Duration,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let head = self.head(call, time_left);
+        match call.body.is_empty() {
+            true => self.agent.run(self.limited(head.body(())?, time_left)),
+            false => self
+                .agent
+                .run(self.limited(head.body(call.body)?, time_left)),
+        }
+    }
+
+    fn limited<S: AsSendBody>(&self, req: Request<S>, time_left: Duration) -> Request<S> {
+        self.agent
+            .configure_request(req)
+            .timeout_global(Some(time_left))
+            .build()
+    }
+
+    fn head(&self, call: &CallView<'_>, time_left: Duration) -> request::Builder {
+        let mut head = Request::builder()
+            .method(call.method)
+            .uri(format!("{}{}", self.base, call.target))
+            .header(DEADLINE_HEADER, time_left.as_millis().to_string())
+            .header(DEPTH_HEADER, call.depth.to_string());
+        for header in call
+            .headers
+            .iter()
+            .filter(|header| is_passed_on(&header.name))
+        {
+            head = head.header(&header.name, &header.value);
+        }
+        head
+    }
+}
+
+impl Backend for HttpBackend {
+    fn run(&self, call: &CallView<'_>, time_left: Duration) -> Result<CallAnswer, Error> {
+        let failure = |err: ureq::Error| failure(call, &err);
+        let mut res = self.send(call, time_left).map_err(failure)?;
+        let headers = passed_on_headers(&res);
+        let body = res
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec();
+        Ok(CallAnswer {
+            status: res.status().as_u16(),
+            headers,
+            body: body.map_err(failure)?,
+            outcome: Outcome::Ran,
+            error: None,
+            retry_after_ms: None,
+            is_retry_exhausted: false,
+        })
+    }
+}
+
+fn passed_on_headers(res: &Response<Body>) -> Vec<Header> {
+    let named = res
+        .headers()
+        .iter()
+        .filter(|(name, _)| is_passed_on(name.as_str()));
+    let owned = named.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(Header {
+            name: name.as_str().to_owned(),
+            value,
+        })
+    });
+    owned.collect()
+}
+
+/// The error of a call whose exchange with the back end failed.
+fn failure(call: &CallView<'_>, err: &ureq::Error) -> Error {
+    let message = format!("back end: {err}");
+    if is_before_sending(err) {
+        return Error::new(ErrorKind::NoBackend, message);
+    }
+    let kind = match err {
+        ureq::Error::Timeout(_) => ErrorKind::DeadlinePassed,
+        _ if call.is_idempotent => ErrorKind::BackendFailed,
+        _ => ErrorKind::OutcomeUnknown,
+    };
+    Error::new(kind, message)
+}
+
+/// Whether the exchange failed before the first byte was sent.
+fn is_before_sending(err: &ureq::Error) -> bool {
+    match err {
+        ureq::Error::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+        ureq::Error::Timeout(at) => matches!(at, Timeout::Connect | Timeout::Resolve),
+        ureq::Error::ConnectionFailed | ureq::Error::Http(_) | ureq::Error::BadUri(_) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -0,0 +1,232 @@
+//! From a request to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_core::call::{CallAnswer, Header, MAX_DEPTH, StoredCall};
+use lavenderhatch_core::config::RouteEntry;
+use lavenderhatch_core::endpoint::Endpoint;
+use lavenderhatch_core::mesh::KeyPolicy;
+use lavenderhatch_core::{Error, ErrorKind, NodeId};
+use lavenderhatch_decide::routing::choose;
+
+use super::backend::Backend;
+use crate::peer::{PeerError, PeerLinks};
+
+/// Most backend servers that are tried for one call.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Hands calls to the daemons of other backend servers.
+pub trait PeerCaller: Send + Sync + 'static {
+    /// Hands over a call and waits for its answer.
+    fn carry(
+        &self,
+        addr: SocketAddr,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+    ) -> Result<CallAnswer, PeerError>;
+}
+
+impl PeerCaller for PeerLinks {
+    fn carry(
+        &self,
+        addr: SocketAddr,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+    ) -> Result<CallAnswer, PeerError> {
+        PeerLinks::carry(self, addr, call, time_left)
+    }
+}
+
+/// A request as the caller port has read it.
+#[derive(Clone, Copy, Debug)]
+pub struct IncomingRequest<'a> {
+    /// Method in upper case.
+    pub method: &'a str,
+    /// Path with query.
+    pub target: &'a str,
+    /// Headers with names in lower case.
+    pub headers: &'a [Header],
+    /// Body, whole.
+    pub body: &'a [u8],
+    /// Idempotency key.
+    pub key: Option<&'a str>,
+    /// Time that the caller allows, if it says so.
+    pub deadline: Option<Duration>,
+    /// Daemons that the call has passed.
+    pub depth: u8,
+    /// Identifies the call, if the caller says so.
+    pub call_id: Option<&'a str>,
+}
+
+/// The path of a call on this daemon.
+#[derive(Debug)]
+pub struct RequestPath<B, L> {
+    own: NodeId,
+    board: Blackboard,
+    backend: B,
+    peers: L,
+    next_call: AtomicU64,
+}
+
+impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
+    /// The path of calls on the daemon named `own`.
+    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L) -> Self {
+        Self {
+            own,
+            board,
+            backend,
+            peers,
+            next_call: AtomicU64::new(1),
+        }
+    }
+
+    /// Answers a request of a caller.
+    pub fn handle(
+        &self,
+        req: &IncomingRequest<'_>,
+        random: &mut impl FnMut() -> u64,
+    ) -> CallAnswer {
+        let result = self.store(req).and_then(|call| self.route(&call, random));
+        result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
+    }
+
+    /// Runs a call that a peer has handed over.
+    pub fn run_for_peer(&self, call: &StoredCall) -> CallAnswer {
+        let result = self.run_here(call, Duration::from_millis(call.time_left_ms));
+        result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
+    }
+
+    /// Finds the route of a request and stores the call.
+    fn store(&self, req: &IncomingRequest<'_>) -> Result<Arc<StoredCall>, Error> {
+        if req.depth >= MAX_DEPTH {
+            let message = format!("the call has passed {} daemons", req.depth);
+            return Err(Error::new(ErrorKind::BadRequest, message));
+        }
+        let config = self.board.config.load();
+        let Some(config) = config.as_ref() else {
+            return Err(Error::new(
+                ErrorKind::NotReady,
+                "no configuration is in force yet",
+            ));
+        };
+        let path = req
+            .target
+            .split_once('?')
+            .map_or(req.target, |(path, _)| path);
+        let Some(RouteEntry { name, route }) = config.routes.find(req.method, path) else {
+            let message = format!("no route takes {} {path}", req.method);
+            return Err(Error::new(ErrorKind::NoRoute, message));
+        };
+        if !route.idempotent && route.key == KeyPolicy::Required && req.key.is_none() {
+            let message = format!("route {name} requires the header Idempotency-Key");
+            return Err(Error::new(ErrorKind::KeyMissing, message));
+        }
+        let time_left = req
+            .deadline
+            .map_or(route.timeout(), |left| left.min(route.timeout()));
+        Ok(Arc::new(StoredCall {
+            id: req
+                .call_id
+                .map_or_else(|| self.new_call_id(), str::to_owned),
+            method: req.method.to_owned(),
+            target: req.target.to_owned(),
+            route: name.to_string(),
+            rank: route.rank.to_string(),
+            service: route.service.to_string(),
+            headers: req.headers.to_vec(),
+            body: req.body.to_vec(),
+            key: req.key.map(str::to_owned),
+            is_idempotent: route.idempotent,
+            time_left_ms: time_left.as_millis() as u64,
+            depth: req.depth + 1,
+        }))
+    }
+
+    fn new_call_id(&self) -> String {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.own)
+    }
+
+    /// Chooses backend servers until one runs the call.
+    fn route(
+        &self,
+        call: &Arc<StoredCall>,
+        random: &mut impl FnMut() -> u64,
+    ) -> Result<CallAnswer, Error> {
+        let start = Instant::now();
+        let allowed = Duration::from_millis(call.time_left_ms);
+        let endpoints = self.board.endpoints.load();
+        let endpoints = endpoints.of(&call.service);
+        let mut excluded = Vec::new();
+        let mut last = Error::new(
+            ErrorKind::NoBackend,
+            format!("no backend server of service {} is known", call.service),
+        );
+        while excluded.len() < MAX_ATTEMPTS {
+            let Some(at) = choose(endpoints, &excluded, random()) else {
+                break;
+            };
+            let time_left = allowed.saturating_sub(start.elapsed());
+            match self.attempt(&endpoints[at], call, time_left) {
+                Ok(answer) => return Ok(answer),
+                Err(err) if err.kind().is_not_run() => last = err,
+                Err(err) => return Err(err),
+            }
+            excluded.push(at);
+        }
+        Err(last)
+    }
+
+    fn attempt(
+        &self,
+        endpoint: &Endpoint,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
+        let start = Instant::now();
+        endpoint.counters.start();
+        let result = match endpoint.node == self.own {
+            true => self.run_here(call, time_left),
+            false => self.run_there(endpoint.peer_addr, call, time_left),
+        };
+        endpoint
+            .counters
+            .finish(start.elapsed().as_micros() as u64, result.is_err());
+        result
+    }
+
+    fn run_here(&self, call: &StoredCall, time_left: Duration) -> Result<CallAnswer, Error> {
+        if self.board.drains.load().is_leaving() {
+            return Err(Error::new(
+                ErrorKind::Leaving,
+                format!("{} is leaving", self.own),
+            ));
+        }
+        self.backend.run(&call.view(), time_left)
+    }
+
+    fn run_there(
+        &self,
+        addr: SocketAddr,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
+        let answer = self.peers.carry(addr, call, time_left)?;
+        match answer.error {
+            Some(kind) => {
+                let message = String::from_utf8_lossy(&answer.body);
+                let prefix = format!("{kind}: ");
+                let message = message.trim_end();
+                Err(Error::new(
+                    kind,
+                    message.strip_prefix(&prefix).unwrap_or(message),
+                ))
+            }
+            None => Ok(answer),
+        }
+    }
+}
