--- /dev/null
+++ b/crates/lavenderhatch-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and measurement programs of lavenderhatch.
+
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the programs as separate processes, and of what they do together.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/tests/testsuite/support/cluster.rs
@@ -0,0 +1,196 @@
+//! A cluster of daemons as processes.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use lavenderhatch_platform::MemoryPlatform;
+use lavenderhatch_platform::server::PlatformServer;
+use lavenderhatch_standin::{BackendStandin, Behaviour};
+
+use super::poll::poll;
+
+/// Time within which an accepted version is in force everywhere.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(6);
+/// Time within which a daemon answers after its start.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that was free a moment ago.
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// A daemon process with its back end.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) caller_addr: SocketAddr,
+    pub(crate) admin_addr: SocketAddr,
+    pub(crate) backend: BackendStandin,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+/// A platform stand-in and daemons. Dropping it ends the processes and removes its files.
+pub(crate) struct Cluster {
+    pub(crate) nodes: Vec<Node>,
+    platform_addr: SocketAddr,
+    _server: PlatformServer,
+    dir: PathBuf,
+}
+
+impl Cluster {
+    /// Starts the platform stand-in, and one daemon with a back end for each service named.
+    pub(crate) fn start(services: &[&str]) -> Self {
+        let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("cluster-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let platform = MemoryPlatform::default();
+        let platform_addr = free_addr();
+        let server = PlatformServer::bind(platform_addr, platform).unwrap();
+        let mut cluster = Self {
+            nodes: Vec::new(),
+            platform_addr,
+            _server: server,
+            dir,
+        };
+        for (n, service) in services.iter().enumerate() {
+            cluster.add_node(&format!("n{n}"), service);
+        }
+        cluster
+    }
+
+    /// Starts one more daemon with a back end.
+    pub(crate) fn add_node(&mut self, name: &str, service: &str) {
+        let backend = BackendStandin::bind(free_addr(), name, Behaviour::default()).unwrap();
+        let (caller_addr, peer_addr, admin_addr) = (free_addr(), free_addr(), free_addr());
+        let zone = if self.nodes.len().is_multiple_of(2) {
+            "zone-a"
+        } else {
+            "zone-b"
+        };
+        let text = format!(
+            r#"{{
+  // Settings of a test.
+  "node": "{name}", "zone": "{zone}", "region": "region-1", "service": "{service}",
+  "caller_addr": "{caller_addr}", "peer_addr": "{peer_addr}", "admin_addr": "{admin_addr}",
+  "backend_addr": "{}", "platform": ["http://{}"],
+}}"#,
+            backend.addr(),
+            self.platform_addr
+        );
+        let settings = self.dir.join(format!("{name}.jsonc"));
+        fs::write(&settings, text).unwrap();
+        let mut node = Node {
+            name: name.to_owned(),
+            caller_addr,
+            admin_addr,
+            backend,
+            settings,
+            process: None,
+        };
+        node.start();
+        self.nodes.push(node);
+    }
+
+    /// Writes files into a directory for the operator's tool.
+    pub(crate) fn write_mesh(&self, name: &str, text: &str) -> PathBuf {
+        let dir = self.dir.join(name);
+        fs::create_dir_all(&dir).unwrap();
+        fs::write(dir.join("mesh.jsonc"), text).unwrap();
+        dir
+    }
+
+    /// Runs the operator's tool with the platform's URL in its environment.
+    pub(crate) fn tool(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_lavenderhatch"))
+            .args(args)
+            .env(
+                "LAVENDERHATCH_PLATFORM",
+                format!("http://{}", self.platform_addr),
+            )
+            .env("LAVENDERHATCH_DAEMON", self.nodes[0].admin_addr.to_string())
+            .stdin(Stdio::null())
+            .output()
+            .unwrap()
+    }
+
+    /// Applies a mesh, which must be accepted.
+    pub(crate) fn apply(&self, mesh: &str) {
+        let dir = self.write_mesh("mesh", mesh);
+        let output = self.tool(&["apply", dir.to_str().unwrap()]);
+        assert!(
+            output.status.success(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+    }
+
+    /// Waits until all daemons have this version in force and know each other.
+    pub(crate) fn wait_for_version(&self, version: u64) {
+        for node in &self.nodes {
+            poll(
+                CONVERGENCE_LIMIT,
+                &format!("version {version} on {}", node.name),
+                || {
+                    let status = node.status()?;
+                    let members = status["members"].as_array()?.len();
+                    (status["version"] == version && members >= self.nodes.len()).then_some(())
+                },
+            );
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Node {
+    /// Starts the process and waits until it answers.
+    pub(crate) fn start(&mut self) {
+        let log = fs::File::create(self.settings.with_extension("log")).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_lavenderhatchd"))
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.process = Some(process);
+        poll(START_LIMIT, &format!("start of {}", self.name), || {
+            self.status()
+        });
+    }
+
+    /// Ends the process at once, as a failure of its VM would.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// What the daemon says about itself.
+    pub(crate) fn status(&self) -> Option<serde_json::Value> {
+        let mut res = ureq::get(format!("http://{}/status", self.admin_addr))
+            .call()
+            .ok()?;
+        let body = res.body_mut().read_to_vec().ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
