--- /dev/null
+++ b/crates/lavenderhatch-bench/src/fleet.rs
@@ -0,0 +1,205 @@
+//! Daemons as processes on loopback.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::tick;
+use eyre::{Result, WrapErr, bail, eyre};
+use lavenderhatch_core::{Timestamp, Version};
+use lavenderhatch_files::{Source, parse_mesh};
+use lavenderhatch_platform::MemoryPlatform;
+use lavenderhatch_platform::accept::{Proposal, accept};
+use lavenderhatch_platform::server::PlatformServer;
+use lavenderhatch_standin::next_loopback_ip;
+
+/// Port of each stand-in and daemon; they differ by address.
+const PORT: u16 = 7000;
+/// Time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time for a daemon to answer after its start.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Place and back end of a daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeOptions<'a> {
+    /// Name of the backend server.
+    pub name: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Service of the back end.
+    pub service: &'a str,
+    /// Where the back end listens.
+    pub backend: SocketAddr,
+}
+
+/// A daemon process. Dropping it ends the process.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Name of the backend server.
+    pub name: String,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where status and metrics are.
+    pub admin_addr: SocketAddr,
+    process: Child,
+}
+
+impl FleetNode {
+    /// Identifier of the process.
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Answer of `GET /status`, `None` if the daemon does not answer.
+    pub fn status(&self) -> Option<serde_json::Value> {
+        let mut res = ureq::get(format!("http://{}/status", self.admin_addr))
+            .call()
+            .ok()?;
+        let body = res.body_mut().read_to_vec().ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Version in force, zero if there is none.
+    pub fn version(&self) -> Version {
+        let version = self.status().and_then(|status| status["version"].as_u64());
+        Version(version.unwrap_or(0))
+    }
+}
+
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A platform stand-in in this process, and daemons as processes.
+pub struct Fleet {
+    /// Objects and faults of the stand-in.
+    pub platform: MemoryPlatform,
+    /// Running daemons.
+    pub nodes: Vec<FleetNode>,
+    platform_addr: SocketAddr,
+    program: PathBuf,
+    dir: PathBuf,
+    _server: PlatformServer,
+}
+
+impl Fleet {
+    /// Starts the stand-in. `dir` takes settings and logs.
+    pub fn open(dir: &Path) -> Result<Self> {
+        let program = std::env::current_exe()?.with_file_name("lavenderhatchd");
+        if !program.exists() {
+            bail!("{} is missing; build it first", program.display());
+        }
+        fs::create_dir_all(dir).wrap_err_with(|| dir.display().to_string())?;
+        let platform = MemoryPlatform::default();
+        let platform_addr = Self::free_addr();
+        let server = PlatformServer::bind(platform_addr, platform.clone())?;
+        let dir = dir.to_owned();
+        Ok(Self {
+            platform,
+            nodes: Vec::new(),
+            platform_addr,
+            program,
+            dir,
+            _server: server,
+        })
+    }
+
+    /// A loopback address with a port that nothing else uses.
+    pub fn free_addr() -> SocketAddr {
+        (next_loopback_ip(), PORT).into()
+    }
+
+    /// Starts a daemon. It may not answer yet.
+    pub fn add_node(&mut self, node: &NodeOptions<'_>) -> Result<()> {
+        let (caller_addr, peer_addr, admin_addr) =
+            (Self::free_addr(), Self::free_addr(), Self::free_addr());
+        let settings = serde_json::json!({
+            "node": node.name, "zone": node.zone, "region": "region-1", "service": node.service,
+            "caller_addr": caller_addr, "peer_addr": peer_addr, "admin_addr": admin_addr,
+            "backend_addr": node.backend, "platform": [format!("http://{}", self.platform_addr)],
+        });
+        let path = self.dir.join(format!("{}.jsonc", node.name));
+        fs::write(&path, settings.to_string())?;
+        let process = Command::new(&self.program)
+            .arg(&path)
+            .arg("--log-level=warn")
+            .stdin(Stdio::null())
+            .stderr(fs::File::create(path.with_extension("log"))?)
+            .spawn()?;
+        let name = node.name.to_owned();
+        self.nodes.push(FleetNode {
+            name,
+            caller_addr,
+            admin_addr,
+            process,
+        });
+        Ok(())
+    }
+
+    /// Waits until all daemons answer and know `members` members.
+    pub fn wait_for_members(&self, members: usize) -> Result<()> {
+        for node in &self.nodes {
+            wait_until(
+                START_LIMIT,
+                &format!("{} knows {members} members", node.name),
+                || {
+                    let status = node.status()?;
+                    (status["members"].as_array()?.len() >= members).then_some(())
+                },
+            )?;
+        }
+        Ok(())
+    }
+
+    /// Waits until all daemons have this version in force.
+    pub fn wait_for_version(&self, version: Version) -> Result<()> {
+        for node in &self.nodes {
+            let what = format!("version {version} on {}", node.name);
+            wait_until(START_LIMIT, &what, || {
+                (node.version() >= version).then_some(())
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Has mesh files accepted.
+    pub fn apply(&self, text: &str) -> Result<Version> {
+        let mesh = parse_mesh(&[Source::new("mesh.jsonc", text)])
+            .map_err(|faults| eyre!("{} faults, the first: {}", faults.len(), faults[0]))?;
+        let now = Timestamp::from_system_clock();
+        let nonce = now.to_string();
+        let proposal = Proposal {
+            mesh: &mesh,
+            author: "bench",
+            reason: "",
+            nonce: &nonce,
+        };
+        Ok(accept(&self.platform, &proposal, now)?)
+    }
+}
+
+/// Asks until there is an answer, for at most `limit`.
+pub fn wait_until<T>(limit: Duration, what: &str, mut ask: impl FnMut() -> Option<T>) -> Result<T> {
+    let start = Instant::now();
+    let ticks = tick(POLL_INTERVAL);
+    loop {
+        if let Some(answer) = ask() {
+            return Ok(answer);
+        }
+        if start.elapsed() > limit {
+            bail!("not within {limit:?}: {what}");
+        }
+        let _ = ticks.recv();
+    }
+}
--- a/crates/lavenderhatch-bench/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Load and measurement programs of lavenderhatch.
-
-fn main() {}
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -180,6 +180,9 @@
             }
         }
         let object = self.cx.platform.get(&own_name)?;
+        if let Some(object) = &object {
+            self.learn_contacts(&object.value);
+        }
         let mut contacts: Vec<MemberRecord> = object
             .as_ref()
             .and_then(|object| serde_json::from_slice(&object.value).ok())
--- a/crates/lavenderhatch-daemon/src/request/backend.rs
+++ b/crates/lavenderhatch-daemon/src/request/backend.rs
@@ -6,6 +6,7 @@
 use lavenderhatch_core::call::{CallAnswer, CallView, DEADLINE_HEADER, DEPTH_HEADER, Header};
 use lavenderhatch_core::error_kind::Outcome;
 use lavenderhatch_core::{Error, ErrorKind};
+use lavenderhatch_platform::ip_agent;
 use ureq::http::{Request, Response, request};
 use ureq::{Agent, AsSendBody, Body, Timeout};
 
@@ -68,7 +69,7 @@
             .accept("")
             .build();
         Self {
-            agent: config.into(),
+            agent: ip_agent(config),
             base: format!("http://{addr}"),
         }
     }
--- a/crates/lavenderhatch-platform/src/client.rs
+++ b/crates/lavenderhatch-platform/src/client.rs
@@ -7,6 +7,7 @@
 
 use crate::error::PlatformError;
 use crate::object::{Expected, MAX_VALUE_BYTES, Object, ObjectMeta};
+use crate::resolver::ip_agent;
 use crate::server::LOST_HEADER;
 use crate::traits::Platform;
 
@@ -38,7 +39,7 @@
             .map(|url| url.trim_end_matches('/').to_owned())
             .collect();
         Self {
-            agent: config.into(),
+            agent: ip_agent(config),
             urls,
         }
     }
--- a/crates/lavenderhatch-platform/src/lib.rs
+++ b/crates/lavenderhatch-platform/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`ObjectStore`]: objects in memory with injected faults, driven with the time as argument.
 //! - [`MemoryPlatform`]: the store shared between threads of one process.
 //! - [`server`]: the store served over HTTP.
+//! - [`ip_agent`]: an HTTP client for hosts that are IP addresses.
 
 pub mod accept;
 mod client;
@@ -23,6 +24,7 @@
 mod faults;
 mod memory;
 mod object;
+mod resolver;
 pub mod server;
 mod store;
 mod traits;
@@ -32,5 +34,6 @@
 pub use faults::Faults;
 pub use memory::MemoryPlatform;
 pub use object::{Expected, MAX_VALUE_BYTES, Object, ObjectMeta};
+pub use resolver::ip_agent;
 pub use store::{CallCounts, ObjectStore};
 pub use traits::Platform;
--- a/crates/lavenderhatch-standin/src/lib.rs
+++ b/crates/lavenderhatch-standin/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod backend;
 mod behaviour;
+mod loopback;
 mod slots;
 
 pub use backend::{BackendStandin, RunCounts};
 pub use behaviour::Behaviour;
+pub use loopback::next_loopback_ip;
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -1,7 +1,7 @@
 //! A cluster of daemons as processes.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -9,7 +9,7 @@
 
 use lavenderhatch_platform::MemoryPlatform;
 use lavenderhatch_platform::server::PlatformServer;
-use lavenderhatch_standin::{BackendStandin, Behaviour};
+use lavenderhatch_standin::{BackendStandin, Behaviour, next_loopback_ip};
 
 use super::poll::poll;
 
@@ -18,12 +18,14 @@
 /// Time within which a daemon answers after its start.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// Port of each stand-in and daemon; they differ by address.
+const PORT: u16 = 7000;
+
 static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
 
-/// A loopback address that was free a moment ago.
+/// A loopback address with a port that nothing else uses.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    (next_loopback_ip(), PORT).into()
 }
 
 /// A daemon process with its back end.
