Check the core protocol against a small specification

The specification has four parts: acceptance, distribution, claims and stops. Messages and writes stay in flight once sent, so that each may arrive late, twice, out of order or never.

The model of stops shows that a server must not end before its peers know that it leaves: a call that is on its way is cut otherwise.

--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/protocol/main.rs
@@ -0,0 +1,82 @@
+//! Model checking of the core protocol: acceptance, distribution, claims and stops.
+//!
+//! `spec.rs` is the specification. `checker.rs` visits all its states, breadth first.
+
+#![allow(clippy::unwrap_used)]
+
+mod checker;
+mod spec;
+
+use rstest::rstest;
+
+use crate::checker::{Model, check};
+use crate::spec::{AcceptanceModel, ClaimModel, DistributionModel, Fault, StopModel};
+
+fn is_safe(model: &impl Model, least_states: usize) {
+    match check(model) {
+        Ok(states) => assert!(states >= least_states, "only {states} states were visited"),
+        Err(trace) => panic!("{trace}"),
+    }
+}
+
+/// Guards against two winners, a second version of one proposal, and a wrong report to an operator.
+#[test]
+fn acceptance_has_one_winner() {
+    is_safe(&AcceptanceModel { fault: Fault::None }, 100);
+}
+
+/// Guards against a daemon that goes back to an older version, also after its own restart.
+#[test]
+fn distribution_never_goes_back() {
+    is_safe(&DistributionModel { fault: Fault::None }, 1000);
+}
+
+/// Guards against a second run of an order and a wrong "not run".
+#[test]
+fn claims_let_an_order_run_once() {
+    is_safe(&ClaimModel { fault: Fault::None }, 1000);
+}
+
+/// Guards against new work on a leaving server and a cut of work in flight.
+#[test]
+fn stop_cuts_nothing() {
+    is_safe(&StopModel { fault: Fault::None }, 100);
+}
+
+/// Guards against a checker that cannot fail: each fault seeded into the specification is found.
+#[rstest]
+#[case::unconditional_write(Fault::UnconditionalWrite, "two proposals")]
+#[case::second_write(Fault::WriteAgainAfterLostAnswer, "one proposal")]
+fn faulty_acceptance_is_found(#[case] fault: Fault, #[case] violation: &str) {
+    let trace = check(&AcceptanceModel { fault }).unwrap_err();
+    assert!(trace.violation.contains(violation), "{trace}");
+}
+
+/// Guards against a checker that cannot fail.
+#[rstest]
+#[case::applies_what_arrives(Fault::ApplyAnyVersion, "older version")]
+#[case::forgets_floor(Fault::JoinWithoutFloor, "older version")]
+fn faulty_distribution_is_found(#[case] fault: Fault, #[case] violation: &str) {
+    let trace = check(&DistributionModel { fault }).unwrap_err();
+    assert!(trace.violation.contains(violation), "{trace}");
+}
+
+/// Guards against a checker that cannot fail.
+#[rstest]
+#[case::unconditional_write(Fault::UnconditionalWrite, "ran twice")]
+#[case::grant_before_commit(Fault::GrantBeforeCommit, "ran twice")]
+#[case::late_grant(Fault::RunWithoutWaitingCall, "not run")]
+fn faulty_claims_are_found(#[case] fault: Fault, #[case] violation: &str) {
+    let trace = check(&ClaimModel { fault }).unwrap_err();
+    assert!(trace.violation.contains(violation), "{trace}");
+}
+
+/// Guards against a checker that cannot fail.
+#[rstest]
+#[case::takes_work(Fault::TakeWorkWhileLeaving, "new work")]
+#[case::ends_early(Fault::EndWithWorkInFlight, "cut")]
+#[case::ends_before_peers_know(Fault::EndBeforePeersKnow, "cut")]
+fn faulty_stops_are_found(#[case] fault: Fault, #[case] violation: &str) {
+    let trace = check(&StopModel { fault }).unwrap_err();
+    assert!(trace.violation.contains(violation), "{trace}");
+}
