Run planned stops and SIGTERM, and judge backend servers by own observations

Change: the stop controller owns drains and decides with evaluate_stops; the daemon refuses work of peers while it leaves, carries calls of callers elsewhere and closes their connections after the answer. An atomic counts requests until their answer is written. The endpoint controller weighs backend servers by slow start and ejects outliers.

--- a/crates/lavenderhatch-core/src/drain.rs
+++ b/crates/lavenderhatch-core/src/drain.rs
@@ -1,14 +1,21 @@
 //! The `drains` section: planned stops and this backend server's own drain.
 
+mod in_flight;
+
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
+pub use in_flight::{InFlight, InFlightGuard};
 use serde::{Deserialize, Serialize};
 
 use crate::Timestamp;
+use crate::member::MemberState;
 use crate::names::{NodeId, StopName};
 
 /// Phase of a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// The order counts: from [`StopPhase::Leaving`] on the backend server takes no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum StopPhase {
     /// The start lies ahead.
@@ -23,6 +30,19 @@
     Overdue,
 }
 
+impl StopPhase {
+    /// The phase as operators see it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StopPhase::Planned => "planned",
+            StopPhase::Held => "held",
+            StopPhase::Leaving => "leaving",
+            StopPhase::Drained => "drained",
+            StopPhase::Overdue => "overdue",
+        }
+    }
+}
+
 /// State of a planned stop as this daemon sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopStatus {
@@ -32,6 +52,10 @@
     pub phase: StopPhase,
     /// When the phase began.
     pub since: Timestamp,
+    /// Earliest start of the stops of this backend server that overlap this one.
+    pub start: Timestamp,
+    /// Latest deadline of the stops of this backend server that overlap this one.
+    pub deadline: Timestamp,
     /// Requests in flight, known only for this daemon's own backend server.
     pub in_flight: Option<u32>,
 }
@@ -51,6 +75,11 @@
 pub struct Drains {
     /// Why this backend server leaves; `None` while it serves.
     pub own: Option<LeaveReason>,
+    /// Whether nothing was in flight any more at some time since this backend server leaves.
+    /// Invariant: false while `own` is `None`.
+    pub is_drained: bool,
+    /// Requests in flight. Each snapshot shares the count with the request path.
+    pub in_flight: Arc<InFlight>,
     /// Planned stops by name.
     pub stops: BTreeMap<StopName, StopStatus>,
 }
@@ -60,4 +89,22 @@
     pub fn is_leaving(&self) -> bool {
         self.own.is_some()
     }
+
+    /// The state that this backend server announces to the other members.
+    pub fn own_state(&self) -> MemberState {
+        match (&self.own, self.is_drained) {
+            (None, _) => MemberState::Serving,
+            (Some(_), false) => MemberState::Leaving,
+            (Some(_), true) => MemberState::Left,
+        }
+    }
+
+    /// Whether a planned stop keeps new work from this backend server.
+    pub fn is_stopping(&self, node: &NodeId) -> bool {
+        let is_stopping = |stop: &StopStatus| {
+            let leaves = matches!(stop.phase, StopPhase::Leaving | StopPhase::Overdue);
+            leaves && stop.backend_server == *node
+        };
+        self.stops.values().any(is_stopping)
+    }
 }
--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod membership;
 mod platform_reader;
+mod stop;
 
 pub(crate) use platform_reader::news_channel;
 
@@ -18,3 +19,4 @@
 pub use handle::ControllerHandle;
 pub use membership::MembershipController;
 pub use platform_reader::{PlatformReader, RootNews};
+pub use stop::{LeaveSender, StopController};
--- a/crates/lavenderhatch-daemon/src/controller/endpoint.rs
+++ b/crates/lavenderhatch-daemon/src/controller/endpoint.rs
@@ -1,26 +1,37 @@
-//! Derives the eligible backend servers from the members. Writes the `endpoints` section.
+//! Derives the eligible backend servers from members, drains and own observations. Writes the
+//! `endpoints` section.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::time::Duration;
 
-use crossbeam::channel::{Receiver, select};
+use crossbeam::channel::{Receiver, select, tick};
 use eyre::Result;
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
-use lavenderhatch_core::endpoint::{
-    Endpoint, EndpointCounters, Endpoints, FULL_WEIGHT, ServiceEndpoints,
-};
+use lavenderhatch_core::drain::Drains;
+use lavenderhatch_core::endpoint::Endpoints;
 use lavenderhatch_core::member::Members;
-use lavenderhatch_core::{MemberRecord, MemberState, NodeId};
+use lavenderhatch_core::{NodeId, Timestamp};
+use lavenderhatch_decide::endpoints::{EndpointChange, EndpointTracker};
 
+use super::audit::AuditSender;
 use super::handle::ControllerHandle;
 
+/// Time between two judgements of the backend servers, and between two steps of a slow start.
+const JUDGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What the controller is connected to.
 #[derive(Debug)]
 pub struct EndpointController {
+    /// This daemon.
+    pub own: NodeId,
     /// Known members.
     pub members: SectionReader<Members>,
+    /// Planned stops.
+    pub drains: SectionReader<Drains>,
     /// The section that this controller owns.
     pub endpoints: SectionWriter<Endpoints>,
+    /// Audit trail.
+    pub audit: AuditSender,
 }
 
 impl EndpointController {
@@ -30,43 +41,50 @@
     }
 
     fn run(self, stop: &Receiver<()>) {
-        let woken = self.members.subscribe();
-        let mut counters = HashMap::new();
+        let members_woken = self.members.subscribe();
+        let drains_woken = self.drains.subscribe();
+        let ticks = tick(JUDGE_INTERVAL);
+        let mut tracker = EndpointTracker::default();
         loop {
-            self.endpoints
-                .publish(derive(&self.members.load(), &mut counters));
+            self.publish(&mut tracker);
             select! {
                 recv(stop) -> _ => return,
-                recv(woken) -> wake => if wake.is_err() { return },
+                recv(members_woken) -> wake => if wake.is_err() { return },
+                recv(drains_woken) -> wake => if wake.is_err() { return },
+                recv(ticks) -> _ => self.judge(&mut tracker),
             }
         }
     }
-}
 
-fn derive(members: &Members, counters: &mut HashMap<NodeId, Arc<EndpointCounters>>) -> Endpoints {
-    let mut endpoints = Endpoints::default();
-    let serving = members
-        .live()
-        .filter(|record| record.state == MemberState::Serving);
-    for record in serving {
-        let service = record.service.clone();
-        let of_service: &mut ServiceEndpoints = endpoints.by_service.entry(service).or_default();
-        let counters = counters.entry(record.id.clone()).or_default();
-        of_service.endpoints.push(endpoint(record, counters));
+    fn publish(&self, tracker: &mut EndpointTracker) {
+        let now = Timestamp::from_system_clock();
+        let endpoints = tracker.derive(&self.members.load(), &self.drains.load(), now);
+        self.endpoints.publish(endpoints);
+    }
+
+    fn judge(&self, tracker: &mut EndpointTracker) {
+        let now = Timestamp::from_system_clock();
+        for change in tracker.judge(&self.members.load(), now) {
+            self.report(&change, now);
+        }
     }
-    counters.retain(|id, _| members.by_id.contains_key(id));
-    endpoints
-}
 
-fn endpoint(record: &MemberRecord, counters: &Arc<EndpointCounters>) -> Endpoint {
-    Endpoint {
-        node: record.id.clone(),
-        incarnation: record.incarnation,
-        zone: record.zone.clone(),
-        peer_addr: record.peer_addr,
-        slots: record.slots.max(1),
-        weight: FULL_WEIGHT,
-        is_last_resort: false,
-        counters: Arc::clone(counters),
+    fn report(&self, change: &EndpointChange, now: Timestamp) {
+        let seen = change.observed;
+        self.audit.send(AuditEvent {
+            at: now,
+            actor: self.own.to_string(),
+            action: AuditAction::EndpointEjected,
+            object: change.node.to_string(),
+            from: None,
+            to: None,
+            reason: format!(
+                "{} of {} calls failed, mean latency {:.1} ms; ejected for {} s",
+                seen.failures,
+                seen.calls,
+                seen.mean_latency_us() / 1000.0,
+                change.time.as_secs()
+            ),
+        });
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -8,6 +8,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
 use eyre::Result;
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
+use lavenderhatch_core::drain::Drains;
 use lavenderhatch_core::member::{HeardVersion, Members};
 use lavenderhatch_core::{ConfigSnapshot, Digest, MemberRecord, NodeId, Timestamp, Version};
 use lavenderhatch_decide::message::Hello;
@@ -33,6 +34,8 @@
     pub platform: P,
     /// The configuration in force.
     pub config: SectionReader<Option<ConfigSnapshot>>,
+    /// This server's own drain.
+    pub drains: SectionReader<Drains>,
     /// The section that this controller owns.
     pub members: SectionWriter<Members>,
     /// Heartbeats of peers.
@@ -77,6 +80,7 @@
 
     fn run(mut self, stop: &Receiver<()>) {
         let ticks = tick(HEARTBEAT_INTERVAL);
+        let drains_woken = self.cx.drains.subscribe();
         self.beat();
         self.publish();
         loop {
@@ -96,6 +100,7 @@
                     }
                     Err(_) => return,
                 },
+                recv(drains_woken) -> _ => self.announce_own_state(),
                 recv(ticks) -> _ => self.beat(),
             }
             self.publish();
@@ -158,6 +163,20 @@
         }
     }
 
+    /// Announces a change of this server's own state at once.
+    fn announce_own_state(&mut self) {
+        let state = self.cx.drains.load().own_state();
+        let present = self.by_id.get(&self.cx.own.id);
+        let Some(present) = present.filter(|record| record.state != state) else {
+            return;
+        };
+        let mut own = MemberRecord::clone(present);
+        own.state = state;
+        own.seq += 1;
+        self.by_id.insert(own.id.clone(), Arc::new(own));
+        self.beat();
+    }
+
     fn others(&self) -> impl Iterator<Item = &Arc<MemberRecord>> {
         self.by_id
             .values()
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/stop.rs
@@ -0,0 +1,201 @@
+//! Runs planned stops and the stop by a signal. Writes the `drains` section.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, after, bounded, never, select};
+use eyre::Result;
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
+use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
+use lavenderhatch_core::drain::{Drains, LeaveReason, StopPhase};
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{ConfigSnapshot, MemberRecord, Timestamp};
+use lavenderhatch_decide::stops::{
+    Departure, StopChange, StopsDecision, StopsView, evaluate_departure, evaluate_stops,
+};
+use tracing::info;
+
+use super::audit::AuditSender;
+use super::handle::ControllerHandle;
+
+/// Longest time between two evaluations. It bounds the effect of a step of the system clock.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two evaluations while requests are in flight on a backend server that leaves.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks the stop controller to leave for good.
+#[derive(Clone, Debug)]
+pub struct LeaveSender(Sender<Sender<()>>);
+
+impl LeaveSender {
+    /// Leaves. The channel gets a message once nothing is in flight and nothing new is started.
+    pub fn leave(&self) -> Receiver<()> {
+        let (done, rx) = bounded(1);
+        // A full queue means that a leave has been asked for before.
+        let _ = self.0.try_send(done);
+        rx
+    }
+}
+
+/// What the controller is connected to.
+#[derive(Debug)]
+pub struct StopController {
+    /// Record with which this daemon started.
+    pub own: MemberRecord,
+    /// The configuration in force.
+    pub config: SectionReader<Option<ConfigSnapshot>>,
+    /// Known members.
+    pub members: SectionReader<Members>,
+    /// The section that this controller owns.
+    pub drains: SectionWriter<Drains>,
+    /// Audit trail.
+    pub audit: AuditSender,
+    /// Requests to leave for good.
+    pub leaves: Receiver<Sender<()>>,
+}
+
+/// A leave for good.
+struct Departing {
+    since: Timestamp,
+    done: Sender<()>,
+}
+
+impl StopController {
+    /// The queue of requests to leave for good.
+    pub fn channel() -> (LeaveSender, Receiver<Sender<()>>) {
+        let (tx, rx) = bounded(1);
+        (LeaveSender(tx), rx)
+    }
+
+    /// Starts the controller.
+    pub fn spawn(self) -> Result<ControllerHandle> {
+        ControllerHandle::spawn("stop", move |stop| self.run(&stop))
+    }
+
+    fn run(self, stop: &Receiver<()>) {
+        let config_woken = self.config.subscribe();
+        let members_woken = self.members.subscribe();
+        let mut departing: Option<Departing> = None;
+        loop {
+            let now = Timestamp::from_system_clock();
+            let wait = self.evaluate(departing.is_some(), now);
+            if departing
+                .as_ref()
+                .is_some_and(|leave| self.depart(leave, now))
+            {
+                return;
+            }
+            let leaves = match departing {
+                None => self.leaves.clone(),
+                Some(_) => never(),
+            };
+            select! {
+                recv(stop) -> _ => return,
+                recv(leaves) -> done => match done {
+                    Ok(done) => departing = Some(Departing { since: now, done }),
+                    Err(_) => return,
+                },
+                recv(config_woken) -> _ => {}
+                recv(members_woken) -> _ => {}
+                recv(after(wait)) -> _ => {}
+            }
+        }
+    }
+
+    /// Decides and publishes. Returns the time until the next decision is due.
+    fn evaluate(&self, is_signalled: bool, now: Timestamp) -> Duration {
+        let config = self.config.load();
+        let no_stops = BTreeMap::new();
+        let config = config.as_ref().as_ref();
+        let previous = self.drains.load();
+        let members = self.members.load();
+        let view = StopsView {
+            own: &self.own,
+            stops: config.map_or(&no_stops, |config| config.mesh.stops()),
+            members: &members,
+            previous: &previous,
+            is_signalled,
+            in_flight: previous.in_flight.count(),
+        };
+        let decision = evaluate_stops(&view, now);
+        for change in &decision.changes {
+            self.report(change, now);
+        }
+        let wait = wait(&decision, now);
+        self.publish(&previous, decision);
+        wait
+    }
+
+    fn publish(&self, previous: &Drains, decision: StopsDecision) {
+        let is_same = decision.own == previous.own
+            && decision.is_drained == previous.is_drained
+            && decision.stops == previous.stops;
+        if is_same {
+            return;
+        }
+        if decision.own != previous.own {
+            log_leave(decision.own.as_ref());
+        }
+        self.drains.publish(Drains {
+            own: decision.own,
+            is_drained: decision.is_drained,
+            in_flight: Arc::clone(&previous.in_flight),
+            stops: decision.stops,
+        });
+    }
+
+    /// Ends the daemon's work if it is time to, and says whether it did.
+    fn depart(&self, leave: &Departing, now: Timestamp) -> bool {
+        let in_flight = &self.drains.load().in_flight;
+        let has_peers = !self.members.load().links.is_empty();
+        let is_over = match evaluate_departure(now.since(leave.since), has_peers) {
+            Departure::Wait => false,
+            Departure::EndIfIdle => in_flight.try_close(),
+            Departure::EndOnceIdle => {
+                in_flight.close();
+                in_flight.count() == 0
+            }
+        };
+        if is_over {
+            info!("stop: nothing is in flight");
+            let _ = leave.done.try_send(());
+        }
+        is_over
+    }
+
+    fn report(&self, change: &StopChange, now: Timestamp) {
+        let phase = |phase: Option<StopPhase>| phase.map_or("none", StopPhase::as_str);
+        let reason = match change.to {
+            Some(to) => format!("{} after {}", to.as_str(), phase(change.from)),
+            None => format!("withdrawn after {}", phase(change.from)),
+        };
+        info!("stop: {} of {}: {reason}", change.name, self.own.id);
+        self.audit.send(AuditEvent {
+            at: now,
+            actor: self.own.id.to_string(),
+            action: AuditAction::StopChanged,
+            object: change.name.to_string(),
+            from: None,
+            to: None,
+            reason,
+        });
+    }
+}
+
+/// Time until the next decision is due.
+fn wait(decision: &StopsDecision, now: Timestamp) -> Duration {
+    if decision.own.is_some() {
+        return DRAIN_INTERVAL;
+    }
+    let next = decision.wake_at.map_or(IDLE_INTERVAL, |at| at.since(now));
+    next.min(IDLE_INTERVAL)
+}
+
+fn log_leave(own: Option<&LeaveReason>) {
+    match own {
+        None => info!("stop: serving again"),
+        Some(LeaveReason::Signal) => info!("stop: leaving for a signal"),
+        Some(LeaveReason::Stop(name)) => info!("stop: leaving for {name}"),
+    }
+}
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::bounded;
+use crossbeam::channel::{Receiver, bounded};
 use eyre::Result;
 use lavenderhatch_core::blackboard::Blackboard;
 use lavenderhatch_core::{Incarnation, MemberRecord, MemberState, Timestamp};
@@ -14,8 +14,8 @@
 
 use crate::admin::AdminPort;
 use crate::controller::{
-    AuditController, ControllerHandle, DistributionController, EndpointController,
-    MembershipController, PlatformReader,
+    AuditController, ControllerHandle, DistributionController, EndpointController, LeaveSender,
+    MembershipController, PlatformReader, StopController,
 };
 use crate::peer::{Inboxes, PeerLinks, PeerPort};
 use crate::request::{CallerPort, CarryWorkers, HttpBackend, RequestPath};
@@ -32,6 +32,7 @@
 /// A running daemon. Dropping it ends its controllers; its ports end with the process.
 pub struct Daemon {
     board: Blackboard,
+    leave: LeaveSender,
     _controllers: Vec<ControllerHandle>,
     _callers: CallerPort,
     _admin: AdminPort,
@@ -56,20 +57,34 @@
         let links = PeerLinks::spawn(settings.peer_threads)?;
         let (audit, events) = AuditController::channel();
         let (news_tx, news) = crate::controller::news_channel();
+        let (leave, leaves) = StopController::channel();
         let controllers = vec![
             AuditController::spawn(events, writers.audit)?,
+            StopController {
+                own: own.clone(),
+                config: board.config.clone(),
+                members: board.members.clone(),
+                drains: writers.drains,
+                audit: audit.clone(),
+                leaves,
+            }
+            .spawn()?,
             MembershipController {
                 own,
                 platform: platform.clone(),
                 config: board.config.clone(),
+                drains: board.drains.clone(),
                 members: writers.members,
                 heartbeats,
                 links: links.clone(),
             }
             .spawn()?,
             EndpointController {
+                own: settings.node.clone(),
                 members: board.members.clone(),
+                drains: board.drains.clone(),
                 endpoints: writers.endpoints,
+                audit: audit.clone(),
             }
             .spawn()?,
             DistributionController {
@@ -92,7 +107,7 @@
             settings.caller_addr,
             settings.max_connections,
             Duration::from_millis(settings.idle_timeout_ms),
-            board.config.clone(),
+            board.clone(),
             path,
         )?;
         let admin = AdminPort::bind(
@@ -108,12 +123,19 @@
         );
         Ok(Self {
             board,
+            leave,
             _controllers: controllers,
             _callers: callers,
             _admin: admin,
         })
     }
 
+    /// Leaves for good. The channel gets a message once nothing is in flight and nothing new is
+    /// started.
+    pub fn leave(&self) -> Receiver<()> {
+        self.leave.leave()
+    }
+
     /// The daemon's blackboard.
     pub fn board(&self) -> &Blackboard {
         &self.board
--- a/crates/lavenderhatch-daemon/src/request/caller_port.rs
+++ b/crates/lavenderhatch-daemon/src/request/caller_port.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use lavenderhatch_core::blackboard::SectionReader;
+use lavenderhatch_core::ErrorKind;
+use lavenderhatch_core::blackboard::Blackboard;
 use lavenderhatch_core::call::{
     CALL_ID_HEADER, CallAnswer, DEADLINE_HEADER, DEPTH_HEADER, ERROR_HEADER, Header, KEY_HEADER,
     OUTCOME_HEADER, RETRY_AFTER_HEADER, RETRY_HEADER, VERSION_HEADER,
 };
-use lavenderhatch_core::{ConfigSnapshot, ErrorKind};
+use oxhttp::model::header::CONNECTION;
 use oxhttp::model::{Body, HeaderName, HeaderValue, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
 
@@ -36,10 +37,10 @@
         addr: SocketAddr,
         max_connections: usize,
         idle_timeout: Duration,
-        config: SectionReader<Option<ConfigSnapshot>>,
+        board: Blackboard,
         path: Arc<RequestPath<B, L>>,
     ) -> Result<Self> {
-        let server = Server::new(move |req| answer(req, &config, &path))
+        let server = Server::new(move |req| answer(req, &board, &path))
             .bind(addr)
             .with_global_timeout(idle_timeout)
             .with_max_concurrent_connections(max_connections);
@@ -60,18 +61,36 @@
 
 fn answer<B: Backend, L: PeerCaller>(
     req: &mut Request<Body>,
-    config: &SectionReader<Option<ConfigSnapshot>>,
+    board: &Blackboard,
     path: &RequestPath<B, L>,
 ) -> Response<Body> {
-    let config = config.load();
+    let guard = path.enter();
+    let config = board.config.load();
     let limits = config.as_ref().as_ref().map(|config| config.mesh.limits());
     let max_body = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
-    let answer = match read(req, max_body) {
-        Ok(read) => path.handle(&read.as_incoming(), &mut rand::random::<u64>),
-        Err((kind, message)) => CallAnswer::from_error(kind, message),
+    let answer = match (&guard, read(req, max_body)) {
+        (Ok(_), Ok(read)) => path.handle(&read.as_incoming(), &mut rand::random::<u64>),
+        (Err(err), _) => CallAnswer::from_error(err.kind(), err.message()),
+        (_, Err((kind, message))) => CallAnswer::from_error(kind, message),
     };
     let version = config.as_ref().as_ref().map(|config| config.version.0);
-    to_response(answer, version)
+    let mut res = to_response(answer, version);
+    if board.drains.load().is_leaving() {
+        close_after(req, &mut res);
+    }
+    if let Ok(guard) = guard {
+        // The server drops the response, and the guard with it, once the answer is written.
+        res.extensions_mut().insert(Arc::new(guard));
+    }
+    res
+}
+
+/// Makes the server close the connection after this answer.
+fn close_after(req: &mut Request<Body>, res: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(CONNECTION, close.clone());
+    // oxhttp 0.3.3 announces what the answer says, but acts on what the request says.
+    req.headers_mut().insert(CONNECTION, close);
 }
 
 /// A request, read whole.
--- a/crates/lavenderhatch-daemon/src/request/carry.rs
+++ b/crates/lavenderhatch-daemon/src/request/carry.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::Receiver;
 use eyre::Result;
+use lavenderhatch_core::call::CallAnswer;
 
 use super::backend::Backend;
 use super::path::{PeerCaller, RequestPath};
@@ -38,6 +39,11 @@
         if job.reply.is_abandoned() {
             continue;
         }
-        job.reply.send(path.run_for_peer(&job.call));
+        let guard = path.enter();
+        let answer = match &guard {
+            Ok(_) => path.run_for_peer(&job.call),
+            Err(err) => CallAnswer::from_error(err.kind(), err.message()),
+        };
+        job.reply.send(answer);
     }
 }
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -8,9 +8,11 @@
 use lavenderhatch_core::blackboard::Blackboard;
 use lavenderhatch_core::call::{CallAnswer, Header, MAX_DEPTH, StoredCall};
 use lavenderhatch_core::config::RouteEntry;
+use lavenderhatch_core::drain::{InFlight, InFlightGuard};
 use lavenderhatch_core::endpoint::Endpoint;
 use lavenderhatch_core::mesh::KeyPolicy;
 use lavenderhatch_core::{Error, ErrorKind, NodeId};
+use lavenderhatch_decide::endpoints::counts_as_failure;
 use lavenderhatch_decide::routing::choose;
 
 use super::backend::Backend;
@@ -67,6 +69,7 @@
 pub struct RequestPath<B, L> {
     own: NodeId,
     board: Blackboard,
+    in_flight: Arc<InFlight>,
     backend: B,
     peers: L,
     next_call: AtomicU64,
@@ -77,6 +80,7 @@
     pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L) -> Self {
         Self {
             own,
+            in_flight: Arc::clone(&board.drains.load().in_flight),
             board,
             backend,
             peers,
@@ -84,7 +88,14 @@
         }
     }
 
-    /// Answers a request of a caller.
+    /// Counts a request as in flight until the guard is dropped. Refuses it if the daemon is about
+    /// to end.
+    pub fn enter(&self) -> Result<InFlightGuard, Error> {
+        self.in_flight.enter().ok_or_else(|| self.leaving())
+    }
+
+    /// Answers a request of a caller, which holds a guard of [`RequestPath::enter`] until the
+    /// answer is written.
     pub fn handle(
         &self,
         req: &IncomingRequest<'_>,
@@ -96,7 +107,12 @@
 
     /// Runs a call that a peer has handed over.
     pub fn run_for_peer(&self, call: &StoredCall) -> CallAnswer {
-        let result = self.run_here(call, Duration::from_millis(call.time_left_ms));
+        let time_left = Duration::from_millis(call.time_left_ms);
+        // Before a configuration is in force, this daemon does not know its own planned stops.
+        let result = match self.board.config.load().is_some() {
+            true => self.run_here(call, time_left),
+            false => Err(not_ready()),
+        };
         result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
     }
 
@@ -108,10 +124,7 @@
         }
         let config = self.board.config.load();
         let Some(config) = config.as_ref() else {
-            return Err(Error::new(
-                ErrorKind::NotReady,
-                "no configuration is in force yet",
-            ));
+            return Err(not_ready());
         };
         let path = req
             .target
@@ -166,14 +179,20 @@
             ErrorKind::NoBackend,
             format!("no backend server of service {} is known", call.service),
         );
-        while excluded.len() < MAX_ATTEMPTS {
+        let mut attempts = 0;
+        while attempts < MAX_ATTEMPTS {
             let Some(at) = choose(endpoints, &excluded, random()) else {
                 break;
             };
             let time_left = allowed.saturating_sub(start.elapsed());
             match self.attempt(&endpoints[at], call, time_left) {
                 Ok(answer) => return Ok(answer),
-                Err(err) if err.kind().is_not_run() => last = err,
+                Err(err) if err.kind().is_not_run() => {
+                    // A server that leaves does no work for the refusal, and several may leave at
+                    // the same time.
+                    attempts += usize::from(err.kind() != ErrorKind::Leaving);
+                    last = err;
+                }
                 Err(err) => return Err(err),
             }
             excluded.push(at);
@@ -193,22 +212,27 @@
             true => self.run_here(call, time_left),
             false => self.run_there(endpoint.peer_addr, call, time_left),
         };
+        let is_failure = match &result {
+            Ok(answer) => counts_as_failure(answer.status, answer.error),
+            Err(err) => counts_as_failure(err.kind().answer().status, Some(err.kind())),
+        };
         endpoint
             .counters
-            .finish(start.elapsed().as_micros() as u64, result.is_err());
+            .finish(start.elapsed().as_micros() as u64, is_failure);
         result
     }
 
     fn run_here(&self, call: &StoredCall, time_left: Duration) -> Result<CallAnswer, Error> {
         if self.board.drains.load().is_leaving() {
-            return Err(Error::new(
-                ErrorKind::Leaving,
-                format!("{} is leaving", self.own),
-            ));
+            return Err(self.leaving());
         }
         self.backend.run(&call.view(), time_left)
     }
 
+    fn leaving(&self) -> Error {
+        Error::new(ErrorKind::Leaving, format!("{} is leaving", self.own))
+    }
+
     fn run_there(
         &self,
         addr: SocketAddr,
@@ -230,3 +254,7 @@
         }
     }
 }
+
+fn not_ready() -> Error {
+    Error::new(ErrorKind::NotReady, "no configuration is in force yet")
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/endpoints/ejection.rs
@@ -0,0 +1,47 @@
+//! Times for which a backend server is ejected.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+/// Time of the first ejection.
+const FIRST_EJECTION: Duration = Duration::from_secs(5);
+/// Longest ejection.
+const MAX_EJECTION: Duration = Duration::from_secs(300);
+/// Time without an ejection after which one of the earlier ejections no longer counts.
+const FORGIVEN_AFTER: Duration = Duration::from_secs(60);
+
+/// Ejections of one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ejection {
+    /// Earlier ejections that still count.
+    count: u32,
+    /// End of the last ejection.
+    until: Timestamp,
+}
+
+impl Ejection {
+    /// Whether the backend server is ejected at `now`.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.until
+    }
+
+    /// Ejects the backend server, for twice as long as the last time. Returns the time.
+    pub fn eject(&mut self, now: Timestamp) -> Duration {
+        let good = now.since(self.until).as_secs() / FORGIVEN_AFTER.as_secs();
+        self.count = self
+            .count
+            .saturating_sub(good.min(u64::from(u32::MAX)) as u32);
+        let time = FIRST_EJECTION
+            .saturating_mul(1 << self.count.min(16))
+            .min(MAX_EJECTION);
+        self.count += 1;
+        self.until = now + time;
+        time
+    }
+
+    /// End of the last ejection.
+    pub fn until(&self) -> Timestamp {
+        self.until
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/endpoints/outlier.rs
@@ -0,0 +1,51 @@
+//! Backend servers that do worse than the others of their service.
+
+use super::observed::Observed;
+
+/// Calls from which a backend server is judged.
+pub(super) const MIN_CALLS: u64 = 10;
+/// A failure rate this much above that of the others makes an outlier.
+const FAILURE_RATE_EXCESS: f64 = 0.3;
+/// A mean latency of this many times that of the others makes an outlier.
+const LATENCY_FACTOR: f64 = 3.0;
+/// A mean latency below this makes no outlier, in microseconds.
+const MIN_OUTLIER_LATENCY_US: f64 = 20_000.0;
+
+/// Finds the outliers among the backend servers of one service. Gives their positions, the worst
+/// first. Backend servers with fewer than 10 calls are not judged.
+pub fn find_outliers(observed: &[Observed]) -> Vec<usize> {
+    let judged = |at: &usize| observed[*at].calls >= MIN_CALLS;
+    let mut outliers: Vec<(usize, f64)> = (0..observed.len())
+        .filter(judged)
+        .filter_map(|at| Some((at, badness(observed, at)?)))
+        .collect();
+    outliers.sort_by(|a, b| b.1.total_cmp(&a.1));
+    outliers.into_iter().map(|(at, _)| at).collect()
+}
+
+/// How much worse than the others a backend server does, or `None` if it is no outlier. Failures
+/// weigh more than any latency.
+fn badness(observed: &[Observed], at: usize) -> Option<f64> {
+    let own = observed[at];
+    let others = || {
+        let others = observed.iter().enumerate().filter(move |(n, _)| *n != at);
+        others
+            .map(|(_, other)| *other)
+            .filter(|other| other.calls >= MIN_CALLS)
+    };
+    let excess = own.failure_rate() - median(others().map(Observed::failure_rate))?;
+    if excess >= FAILURE_RATE_EXCESS {
+        return Some(f64::from(u32::MAX) * (1.0 + excess));
+    }
+    let ratio = own.mean_latency_us() / median(others().map(Observed::mean_latency_us))?.max(1.0);
+    let is_slow = ratio >= LATENCY_FACTOR && own.mean_latency_us() >= MIN_OUTLIER_LATENCY_US;
+    is_slow.then_some(ratio)
+}
+
+/// The lower median, or `None` of nothing.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut sorted: Vec<f64> = values.collect();
+    sorted.sort_by(f64::total_cmp);
+    let at = sorted.len().checked_sub(1)? / 2;
+    sorted.get(at).copied()
+}
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -5,10 +5,14 @@
 //!
 //! - [`acceptance`]: how a set of files becomes the accepted version.
 //! - [`distribution`]: how an accepted version reaches each daemon.
+//! - [`stops`]: when a backend server leaves for a planned stop or a signal.
+//! - [`endpoints`]: which backend servers may be chosen, and with which weight.
 //! - [`routing`]: which backend server runs a call.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
 pub mod distribution;
+pub mod endpoints;
 pub mod message;
 pub mod routing;
+pub mod stops;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/stops/evaluate.rs
@@ -0,0 +1,172 @@
+//! The phases of all stops and the state of this backend server.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lavenderhatch_core::drain::{LeaveReason, StopPhase, StopStatus};
+use lavenderhatch_core::{MemberRecord, MemberState, NodeId, StopName, Timestamp};
+
+use super::grant::granted;
+use super::view::{StopChange, StopsDecision, StopsView};
+use super::window::{Window, windows};
+
+/// Decides the phase of each stop, and whether this backend server leaves.
+///
+/// The outcomes are listed in docs/stops.md.
+pub fn evaluate_stops(view: &StopsView<'_>, now: Timestamp) -> StopsDecision {
+    let windows = windows(view.stops);
+    let granted = granted(view, &windows, now);
+    let mut stops = BTreeMap::new();
+    let mut own = None;
+    for window in &windows {
+        let phase = phase(view, window, &granted, now);
+        if is_reason(view, window, phase) {
+            own = own.or_else(|| Some(LeaveReason::Stop(window.names[0].clone())));
+        }
+        for name in &window.names {
+            stops.insert((*name).clone(), status(view, window, name, phase, now));
+        }
+    }
+    if own.is_none() {
+        own = keep_ended(view, &mut stops, now);
+    }
+    if view.is_signalled {
+        own = Some(LeaveReason::Signal);
+    }
+    let is_drained = is_drained(view, own.as_ref(), &stops);
+    StopsDecision {
+        own,
+        is_drained,
+        changes: changes(view, &stops),
+        stops,
+        wake_at: wake_at(&windows, now),
+    }
+}
+
+fn phase(
+    view: &StopsView<'_>,
+    window: &Window<'_>,
+    granted: &BTreeSet<&NodeId>,
+    now: Timestamp,
+) -> StopPhase {
+    let Some(record) = view.record(window.node) else {
+        return StopPhase::Planned;
+    };
+    if !window.has_started(now) {
+        return StopPhase::Planned;
+    }
+    if has_ended(view, window, record) {
+        return StopPhase::Drained;
+    }
+    if !granted.contains(window.node) {
+        return StopPhase::Held;
+    }
+    match now >= window.deadline {
+        true => StopPhase::Overdue,
+        false => StopPhase::Leaving,
+    }
+}
+
+/// Whether nothing is in flight any more on the backend server that was to leave.
+fn has_ended(view: &StopsView<'_>, window: &Window<'_>, record: &MemberRecord) -> bool {
+    if !window.concerns(record) {
+        return true;
+    }
+    if record.id != view.own.id {
+        return matches!(record.state, MemberState::Left | MemberState::Failed);
+    }
+    // The count is conclusive only after the leave was published, see `InFlight`.
+    let had_left = |name: &&StopName| {
+        let status = view.previous.stops.get(*name);
+        status.is_some_and(|status| status.phase >= StopPhase::Leaving)
+    };
+    let is_idle = view.in_flight == 0 && window.names.iter().any(had_left);
+    is_idle || window.names.iter().any(|name| view.has_drained(name))
+}
+
+/// Whether the window makes this backend server leave.
+fn is_reason(view: &StopsView<'_>, window: &Window<'_>, phase: StopPhase) -> bool {
+    let concerns_own = *window.node == view.own.id && window.concerns(view.own);
+    concerns_own && phase >= StopPhase::Leaving
+}
+
+fn status(
+    view: &StopsView<'_>,
+    window: &Window<'_>,
+    name: &StopName,
+    phase: StopPhase,
+    now: Timestamp,
+) -> StopStatus {
+    let previous = view.previous.stops.get(name);
+    let unchanged = previous.filter(|status| status.phase == phase);
+    let is_own = *window.node == view.own.id;
+    StopStatus {
+        backend_server: window.node.clone(),
+        phase,
+        since: unchanged.map_or(now, |status| status.since),
+        start: window.start,
+        deadline: window.deadline,
+        in_flight: is_own.then_some(view.in_flight),
+    }
+}
+
+/// Keeps a stop that was withdrawn after it had ended: nothing in flight and the deadline passed.
+/// The backend server may be gone at any moment, so it takes no new work until its daemon restarts.
+fn keep_ended(
+    view: &StopsView<'_>,
+    stops: &mut BTreeMap<StopName, StopStatus>,
+    now: Timestamp,
+) -> Option<LeaveReason> {
+    let Some(LeaveReason::Stop(name)) = &view.previous.own else {
+        return None;
+    };
+    let status = view.previous.stops.get(name)?;
+    let has_ended = status.phase == StopPhase::Drained && status.deadline <= now;
+    if !has_ended || stops.contains_key(name) {
+        return None;
+    }
+    stops.insert(name.clone(), status.clone());
+    Some(LeaveReason::Stop(name.clone()))
+}
+
+fn is_drained(
+    view: &StopsView<'_>,
+    own: Option<&LeaveReason>,
+    stops: &BTreeMap<StopName, StopStatus>,
+) -> bool {
+    match own {
+        None => false,
+        Some(LeaveReason::Stop(name)) => {
+            let status = stops.get(name);
+            status.is_some_and(|status| status.phase == StopPhase::Drained)
+        }
+        Some(LeaveReason::Signal) => {
+            view.previous.is_drained || (view.previous.is_leaving() && view.in_flight == 0)
+        }
+    }
+}
+
+fn changes(view: &StopsView<'_>, stops: &BTreeMap<StopName, StopStatus>) -> Vec<StopChange> {
+    let previous = &view.previous.stops;
+    let change = |name: &StopName, status: &StopStatus| StopChange {
+        name: name.clone(),
+        backend_server: status.backend_server.clone(),
+        from: previous.get(name).map(|status| status.phase),
+        to: stops.get(name).map(|status| status.phase),
+    };
+    let present = stops.iter().map(|(name, status)| change(name, status));
+    let withdrawn = previous
+        .iter()
+        .filter(|(name, _)| !stops.contains_key(*name));
+    let withdrawn = withdrawn.map(|(name, status)| change(name, status));
+    present
+        .chain(withdrawn)
+        .filter(|change| change.from != change.to && change.backend_server == view.own.id)
+        .collect()
+}
+
+fn wake_at(windows: &[Window<'_>], now: Timestamp) -> Option<Timestamp> {
+    let times = windows
+        .iter()
+        .flat_map(|window| [window.start, window.deadline]);
+    times.filter(|at| *at > now).min()
+}
--- a/src/bin/lavenderhatchd.rs
+++ b/src/bin/lavenderhatchd.rs
@@ -1,20 +1,27 @@
 //! The daemon of lavenderhatch.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
+use std::process::{self, ExitCode};
+use std::thread;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use crossbeam::channel::{Receiver, select, unbounded};
 use eyre::{Result, WrapErr, eyre};
 use lavenderhatch_daemon::Daemon;
 use lavenderhatch_files::{parse_settings, read_file};
 use lavenderhatch_platform::HttpPlatform;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tracing::info;
+use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
 /// The settings have faults.
 const EXIT_BAD_SETTINGS: u8 = 3;
+/// A second signal ended the daemon while requests were in flight.
+const EXIT_AT_ONCE: i32 = 1;
+/// Time between the last request and the end of the process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -69,14 +76,35 @@
             return Ok(ExitCode::from(EXIT_BAD_SETTINGS));
         }
     };
-    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
+    let signals = receive_signals()?;
     let platform = HttpPlatform::open(&settings.platform);
     let daemon = Daemon::spawn(&settings, platform)?;
-    if let Some(signal) = signals.forever().next() {
-        info!("daemon: signal {signal} received");
+    let signal = signals.recv().wrap_err("cannot wait for signals")?;
+    info!("daemon: signal {signal} received, leaving");
+    let drained = daemon.leave();
+    select! {
+        recv(drained) -> _ => {
+            // Answers that were handed to the threads of the ports are written in this time.
+            let _ = signals.recv_timeout(FLUSH_TIME);
+            info!("daemon: nothing is in flight, ending");
+            Ok(ExitCode::SUCCESS)
+        }
+        recv(signals) -> _ => {
+            warn!("daemon: second signal received, ending at once");
+            // Dropping the daemon would wait for its controllers.
+            process::exit(EXIT_AT_ONCE)
+        }
     }
-    drop(daemon);
-    Ok(ExitCode::SUCCESS)
+}
+
+/// Signals that end the daemon, in the order of their arrival.
+fn receive_signals() -> Result<Receiver<i32>> {
+    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
+    let (tx, rx) = unbounded();
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || signals.forever().try_for_each(|signal| tx.send(signal)))?;
+    Ok(rx)
 }
 
 fn start_log(args: &ArgMatches) {
