--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the deciding functions: stated situations in, stated outcomes out.
+
+#![allow(clippy::unwrap_used)]
+
+mod endpoints;
+mod member_fixture;
+mod stops;
--- a/src/bin/lavenderhatchd.rs
+++ b/src/bin/lavenderhatchd.rs
@@ -18,6 +18,8 @@
 
 /// The settings have faults.
 const EXIT_BAD_SETTINGS: u8 = 3;
+/// Nothing was in flight when the daemon ended.
+const EXIT_DRAINED: i32 = 0;
 /// A second signal ended the daemon while requests were in flight.
 const EXIT_AT_ONCE: i32 = 1;
 /// Time between the last request and the end of the process.
@@ -82,16 +84,16 @@
     let signal = signals.recv().wrap_err("cannot wait for signals")?;
     info!("daemon: signal {signal} received, leaving");
     let drained = daemon.leave();
+    // Dropping the daemon would wait for its controllers while the ports go on.
     select! {
         recv(drained) -> _ => {
             // Answers that were handed to the threads of the ports are written in this time.
             let _ = signals.recv_timeout(FLUSH_TIME);
             info!("daemon: nothing is in flight, ending");
-            Ok(ExitCode::SUCCESS)
+            process::exit(EXIT_DRAINED)
         }
         recv(signals) -> _ => {
             warn!("daemon: second signal received, ending at once");
-            // Dropping the daemon would wait for its controllers.
             process::exit(EXIT_AT_ONCE)
         }
     }
