Test stops and callers with real daemons

Cause: nothing showed what real daemons do at a planned stop, and what the oxhttp server does with callers that are slow, half open or send bad framing. Change: tests in stops.rs and callers.rs, with a caller that writes bytes of its own.

--- /dev/null
+++ b/tests/testsuite/callers.rs
@@ -0,0 +1,207 @@
+//! Callers that are slow, half open, or send what is no request.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::tick;
+use rstest::rstest;
+
+use crate::support::{Cluster, RawCaller};
+
+const MESH: &str = r#"{
+  "ranks": { "urgent": { "target_ms": 50, "worth": 100, "share": 0.4 } },
+  "services": { "orders": { "slots": 12 } },
+  "routes": { "place-order": { "path": "/orders", "service": "orders", "rank": "urgent",
+              "timeout_ms": 2000, "idempotent": false } },
+  "limits": { "max_body_bytes": 1000 },
+}"#;
+const SETTINGS: &str = r#""idle_timeout_ms": 1000, "max_connections": 8,"#;
+/// Time within which a caller that does not finish its request is let go.
+const LET_GO_LIMIT: Duration = Duration::from_secs(3);
+
+fn cluster() -> Cluster {
+    let cluster = Cluster::start_with_settings(&["orders"], SETTINGS);
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    cluster
+}
+
+fn ran(cluster: &Cluster) -> u64 {
+    cluster.nodes[0].backend.counts().total
+}
+
+fn addr(cluster: &Cluster) -> SocketAddr {
+    cluster.nodes[0].caller_addr
+}
+
+/// The head of a POST with these lines before the empty one.
+fn head(lines: &str) -> Vec<u8> {
+    format!("POST /orders HTTP/1.1\r\nHost: a\r\n{lines}\r\n").into_bytes()
+}
+
+fn request(lines: &str, body: &str) -> Vec<u8> {
+    [head(lines), body.as_bytes().to_vec()].concat()
+}
+
+/// Guards against requests whose end two readers place differently, which lets one request hide in
+/// another, and against limits that are not kept: each is refused as a whole, nothing runs, and the
+/// connection is closed.
+#[rstest]
+#[case::both_lengths(
+    "400",
+    request(
+        "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+        "1\r\nx\r\n0\r\n\r\n"
+    )
+)]
+#[case::two_lengths("400", request("Content-Length: 1\r\nContent-Length: 2\r\n", "xy"))]
+#[case::signed_length("400", request("Content-Length: +1\r\n", "x"))]
+#[case::other_coding("400", request("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"))]
+#[case::chunk_size_is_no_number(
+    "400",
+    request("Transfer-Encoding: chunked\r\n", "z\r\nx\r\n0\r\n\r\n")
+)]
+#[case::chunk_size_overflows(
+    "400",
+    request("Transfer-Encoding: chunked\r\n", "fffffffffffffffff\r\nx")
+)]
+#[case::chunk_is_longer(
+    "400",
+    request("Transfer-Encoding: chunked\r\n", "1\r\nxyz\r\n0\r\n\r\n")
+)]
+#[case::chunk_with_bare_line_feeds("400", request("Transfer-Encoding: chunked\r\n", "1\nx\n0\n\n"))]
+#[case::head_with_bare_line_feeds("400", b"POST /orders HTTP/1.1\nHost: a\nContent-Length: 0\n\n".to_vec())]
+#[case::bare_line_feed_in_head("400", request("A: b\nContent-Length: 1\r\n", "x"))]
+#[case::space_before_colon("400", request("Content-Length : 1\r\n", "x"))]
+#[case::folded_header("400", request("A: b\r\n Content-Length: 1\r\n", "x"))]
+#[case::no_host("400", b"POST /orders HTTP/1.1\r\nContent-Length: 0\r\n\r\n".to_vec())]
+#[case::no_request("400", b"\x16\x03\x01\x02\r\n\r\n".to_vec())]
+#[case::long_header("413", head(&format!("A: {}\r\n", "b".repeat(70_000))))]
+#[case::many_headers("413", head(&"A: b\r\n".repeat(1000)))]
+#[case::declared_body_too_long("413", head("Content-Length: 1001\r\n"))]
+#[case::endless_body("413", head("Content-Length: 9999999999999\r\n"))]
+#[case::chunked_body_too_long("413", request("Transfer-Encoding: chunked\r\n", &format!("3e9\r\n{}\r\n0\r\n\r\n", "x".repeat(1001))))]
+fn bad_request_is_refused_as_a_whole(#[case] status: &str, #[case] bytes: Vec<u8>) {
+    let cluster = cluster();
+    let mut caller = RawCaller::connect(addr(&cluster));
+    caller.send(&bytes);
+    let answer = caller.answer().unwrap().to_lowercase();
+    assert!(
+        answer.starts_with(&format!("http/1.1 {status}")),
+        "{answer}"
+    );
+    assert!(
+        answer.contains("lavenderhatch-outcome: not-run"),
+        "{answer}"
+    );
+    assert!(caller.is_closed());
+    assert_eq!(ran(&cluster), 0);
+}
+
+/// Guards against a caller that holds a connection, and its thread, by sending a byte now and then.
+#[rstest]
+#[case::silent(b"".to_vec())]
+#[case::slow_head(b"POST /orders HTTP/1.1\r\nHost: a\r\nA: ".to_vec())]
+#[case::slow_body(head("Content-Length: 900\r\n"))]
+#[case::slow_chunk(request("Transfer-Encoding: chunked\r\n", "300\r\n"))]
+fn slow_caller_is_let_go(#[case] start: Vec<u8>) {
+    let cluster = cluster();
+    let mut caller = RawCaller::connect(addr(&cluster));
+    let begin = Instant::now();
+    assert!(caller.send(&start));
+    let ticks = tick(Duration::from_millis(100));
+    while !start.is_empty() && caller.send(b"x") {
+        assert!(begin.elapsed() < LET_GO_LIMIT, "the daemon still reads");
+        ticks.recv().unwrap();
+    }
+    caller.until("the end of the connection");
+    assert!(begin.elapsed() < LET_GO_LIMIT);
+    assert_eq!(ran(&cluster), 0);
+}
+
+/// Guards against a request that runs although its end never came, and against an answer that is
+/// withheld from a caller which has closed its own direction.
+#[rstest]
+#[case::in_the_head(b"POST /orders HT".to_vec(), 0)]
+#[case::in_the_body(request("Content-Length: 10\r\n", "x"), 0)]
+#[case::in_a_chunk(request("Transfer-Encoding: chunked\r\n", "5\r\nx"), 0)]
+#[case::after_the_request(request("Content-Length: 1\r\n", "x"), 1)]
+fn half_open_caller(#[case] bytes: Vec<u8>, #[case] runs: u64) {
+    let cluster = cluster();
+    let mut caller = RawCaller::connect(addr(&cluster));
+    assert!(caller.send(&bytes));
+    caller.half_close();
+    let is_answered = caller
+        .answer()
+        .is_some_and(|answer| answer.contains(" 200 "));
+    assert_eq!(is_answered, runs == 1);
+    assert!(caller.is_closed());
+    assert_eq!(ran(&cluster), runs);
+}
+
+/// Guards against requests that are lost, and answers that are mixed up, when a caller sends the
+/// next request before the answer to the last.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let cluster = cluster();
+    let mut caller = RawCaller::connect(addr(&cluster));
+    let chunked = request(
+        "Transfer-Encoding: chunked\r\n",
+        "2;a=b\r\nb1\r\n2\r\n23\r\n0\r\nT: u\r\n\r\n",
+    );
+    let requests = [
+        request("Content-Length: 2\r\n", "a1"),
+        chunked,
+        request("", ""),
+    ];
+    assert!(caller.send(&requests.concat()));
+    for body in ["a1", "b123", ""] {
+        let answer = caller.answer().unwrap();
+        assert!(
+            answer.ends_with(&format!("n0 POST /orders\n{body}")),
+            "{answer}"
+        );
+    }
+    assert_eq!(ran(&cluster), 3);
+}
+
+/// Guards against a caller that waits for leave to send its body, and an answer to HEAD that has
+/// one.
+#[test]
+fn expectation_and_head_are_honoured() {
+    let cluster = cluster();
+    let mut caller = RawCaller::connect(addr(&cluster));
+    assert!(caller.send(&head("Content-Length: 1\r\nExpect: 100-continue\r\n")));
+    assert_eq!(caller.until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    assert!(caller.send(b"x"));
+    assert!(caller.answer().unwrap().contains(" 200 "));
+    assert!(caller.send(b"HEAD /orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+    assert!(caller.until("\r\n\r\n").contains(" 200 "));
+    assert!(caller.is_closed());
+}
+
+/// Guards against callers beyond the limit that wait in silence: they are told at once, and are
+/// served again as soon as a connection is free.
+#[test]
+fn caller_beyond_the_connection_limit_is_told() {
+    let cluster = cluster();
+    let addr = addr(&cluster);
+    let held: Vec<RawCaller> = (0..8).map(|_| RawCaller::connect(addr)).collect();
+    let begin = Instant::now();
+    let mut caller = RawCaller::connect(addr);
+    let answer = caller.answer().unwrap().to_lowercase();
+    assert!(
+        begin.elapsed() < Duration::from_millis(900),
+        "it waited for a free connection"
+    );
+    assert!(
+        answer.starts_with("http/1.1 503") && answer.contains("not-run"),
+        "{answer}"
+    );
+    drop(held);
+    crate::support::poll(LET_GO_LIMIT, "a free connection", || {
+        let mut caller = RawCaller::connect(addr);
+        caller.send(&request("Content-Length: 1\r\n", "x"));
+        caller.answer().filter(|answer| answer.contains(" 200 "))
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod callers;
+mod stops;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/stops.rs
@@ -0,0 +1,227 @@
+//! Planned stops and signals with real daemons.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime};
+
+use lavenderhatch_standin::Behaviour;
+
+use crate::support::{Call, Callers, Cluster, RawCaller, poll};
+
+/// Time from the start of a stop within which the last new request reaches the back end.
+const P7_LIMIT: Duration = Duration::from_secs(3);
+/// Time for a stop to get somewhere.
+const LIMIT: Duration = Duration::from_secs(15);
+const SERVICE_MS: u64 = 20;
+
+fn mesh(stop: &str) -> String {
+    format!(
+        r#"{{
+  "ranks": {{ "urgent": {{ "target_ms": 50, "worth": 100, "share": 0.4 }} }},
+  "services": {{ "orders": {{ "slots": 12 }} }},
+  "routes": {{ "place-order": {{ "path": "/orders", "methods": ["POST"], "service": "orders",
+                "rank": "urgent", "timeout_ms": 20000, "idempotent": false }} }},
+  "stops": {{ {stop} }},
+}}"#
+    )
+}
+
+/// A stop of `n0` that starts in `start` and has its deadline `deadline` later.
+fn stop_of_n0(start: SystemTime, deadline: Duration) -> String {
+    let text = |time| humantime::format_rfc3339_millis(time).to_string();
+    let (start, deadline) = (text(start), text(start + deadline));
+    format!(
+        r#""replace": {{ "backend_server": "n0", "start": "{start}", "deadline": "{deadline}" }}"#
+    )
+}
+
+fn cluster(servers: usize) -> Cluster {
+    let cluster = Cluster::start(&vec!["orders"; servers]);
+    cluster.apply(&mesh(""));
+    cluster.wait_for_version(1);
+    cluster
+}
+
+fn set_service_ms(cluster: &Cluster, node: usize, service_ms: u64) {
+    cluster.nodes[node].backend.set_behaviour(Behaviour {
+        service_ms,
+        ..Behaviour::default()
+    });
+}
+
+fn addrs(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.nodes.iter().map(|node| node.caller_addr).collect()
+}
+
+fn wait_for_phase(cluster: &Cluster, phase: &str) {
+    poll(LIMIT, &format!("phase {phase}"), || {
+        let status = cluster.nodes[0].status()?;
+        (status["stops"]["replace"]["phase"] == phase).then_some(())
+    });
+}
+
+fn wait_for_in_flight(cluster: &Cluster, node: usize, count: u32) {
+    poll(LIMIT, "requests in flight", || {
+        (cluster.nodes[node].backend.in_flight() == count).then_some(())
+    });
+}
+
+fn failures(calls: &[Call]) -> Vec<&String> {
+    calls
+        .iter()
+        .filter_map(|call| call.result.as_ref().err())
+        .collect()
+}
+
+/// End of the last call that ran on a backend server.
+fn last_on(calls: &[Call], node: &str) -> Option<Instant> {
+    let ran_there = |call: &&Call| {
+        call.result
+            .as_ref()
+            .is_ok_and(|body| body.starts_with(node))
+    };
+    calls.iter().filter(ran_there).map(|call| call.end).max()
+}
+
+fn post(addr: SocketAddr) -> Vec<u8> {
+    format!("POST /orders HTTP/1.1\r\nHost: {addr}\r\nContent-Length: 1\r\n\r\nx").into_bytes()
+}
+
+/// Guards against requests that are cut by a planned stop, and against new work that reaches the
+/// leaving server later than 3 s after the start, through any daemon.
+#[test]
+fn planned_stop_cuts_nothing_and_keeps_new_work_away() {
+    let cluster = cluster(3);
+    (0..3).for_each(|node| set_service_ms(&cluster, node, SERVICE_MS));
+    let callers = Callers::start(&addrs(&cluster), 2, "/orders");
+    let start = SystemTime::now() + Duration::from_secs(2);
+    let start_instant = Instant::now() + Duration::from_secs(2);
+    cluster.apply(&mesh(&stop_of_n0(start, Duration::from_secs(60))));
+    wait_for_phase(&cluster, "drained");
+    let drained = cluster.nodes[0].backend.counts().total;
+    poll(LIMIT, "the other members see the server as left", || {
+        let status = cluster.nodes[1].status()?;
+        let state = &status["members"][0]["record"]["state"];
+        (state == "left").then_some(())
+    });
+    let calls = callers.end();
+    assert_eq!(failures(&calls), Vec::<&String>::new());
+    let last = last_on(&calls, "n0").unwrap();
+    let service = Duration::from_millis(SERVICE_MS);
+    assert!(last >= start_instant, "the server left before its start");
+    assert!(last - service <= start_instant + P7_LIMIT);
+    assert_eq!(cluster.nodes[0].backend.counts().total, drained);
+}
+
+/// Guards against a request in flight that is cut at the start or at the deadline, and against an
+/// operator who is not told of it.
+#[test]
+fn request_in_flight_ends_whole_after_the_deadline() {
+    let cluster = cluster(2);
+    set_service_ms(&cluster, 0, 6000);
+    let callers = Callers::start(&addrs(&cluster)[1..], 4, "/orders");
+    poll(LIMIT, "a request on n0", || {
+        (cluster.nodes[0].backend.in_flight() > 0).then_some(())
+    });
+    let stop = stop_of_n0(SystemTime::now(), Duration::from_secs(1));
+    cluster.apply(&mesh(&stop));
+    wait_for_phase(&cluster, "overdue");
+    let status = cluster.nodes[0].status().unwrap();
+    assert!(status["stops"]["replace"]["in_flight"].as_u64() > Some(0));
+    wait_for_phase(&cluster, "drained");
+    let calls = callers.end();
+    assert_eq!(failures(&calls), Vec::<&String>::new());
+    assert!(last_on(&calls, "n0").is_some());
+}
+
+/// Guards against a connection that stays open although its end was announced, and against requests
+/// that are lost when a caller ignores the announcement: each of them is answered, if need be on a
+/// new connection, and none runs twice.
+#[test]
+fn caller_that_ignores_the_close_loses_nothing() {
+    let cluster = cluster(2);
+    cluster.apply(&mesh(&stop_of_n0(
+        SystemTime::now(),
+        Duration::from_secs(60),
+    )));
+    wait_for_phase(&cluster, "drained");
+    let addr = cluster.nodes[0].caller_addr;
+    let before: u64 = cluster.nodes.iter().map(|n| n.backend.counts().total).sum();
+    for _ in 0..5 {
+        let mut caller = RawCaller::connect(addr);
+        assert!(caller.send(&post(addr)));
+        let answer = caller.answer().unwrap();
+        assert!(
+            answer.starts_with("HTTP/1.1 200") && answer.contains("n1 POST"),
+            "{answer}"
+        );
+        assert!(
+            answer.to_lowercase().contains("connection: close"),
+            "{answer}"
+        );
+        caller.send(&post(addr));
+        assert!(caller.is_closed());
+    }
+    let after: u64 = cluster.nodes.iter().map(|n| n.backend.counts().total).sum();
+    assert_eq!(after - before, 5);
+}
+
+/// Guards against a server that stays away after its stop was withdrawn.
+#[test]
+fn withdrawn_stop_brings_the_server_back() {
+    let cluster = cluster(2);
+    cluster.apply(&mesh(&stop_of_n0(
+        SystemTime::now(),
+        Duration::from_secs(60),
+    )));
+    wait_for_phase(&cluster, "drained");
+    let drained = cluster.nodes[0].backend.counts().total;
+    cluster.apply(&mesh(""));
+    cluster.wait_for_version(3);
+    let addr = cluster.nodes[0].caller_addr;
+    poll(LIMIT, "work on n0", || {
+        let _ = ureq::post(format!("http://{addr}/orders")).send("x");
+        (cluster.nodes[0].backend.counts().total > drained).then_some(())
+    });
+    let audit = ureq::get(format!("http://{}/audit", cluster.nodes[0].admin_addr)).call();
+    let audit = audit.unwrap().body_mut().read_to_string().unwrap();
+    assert!(audit.contains("withdrawn after drained"), "{audit}");
+}
+
+/// Guards against a signal that cuts requests, and against a process that never ends.
+#[test]
+fn sigterm_drains_and_ends_the_process() {
+    let mut cluster = cluster(3);
+    (0..3).for_each(|node| set_service_ms(&cluster, node, SERVICE_MS));
+    set_service_ms(&cluster, 0, 5000);
+    let callers = Callers::start(&addrs(&cluster), 2, "/orders");
+    poll(LIMIT, "a request on n0", || {
+        (cluster.nodes[0].backend.in_flight() > 0).then_some(())
+    });
+    cluster.nodes[0].terminate();
+    assert_eq!(cluster.nodes[0].wait_for_exit(LIMIT), Some(0));
+    assert_eq!(cluster.nodes[0].backend.in_flight(), 0);
+    let calls = callers.end();
+    assert_eq!(failures(&calls), Vec::<&String>::new());
+    assert!(last_on(&calls, "n0").is_some());
+}
+
+/// Guards against an operator who cannot end a daemon whose requests take too long.
+#[test]
+fn second_signal_ends_the_process_at_once() {
+    let mut cluster = cluster(1);
+    set_service_ms(&cluster, 0, 15_000);
+    let addr = cluster.nodes[0].caller_addr;
+    let mut caller = RawCaller::connect(addr);
+    assert!(caller.send(&post(addr)));
+    wait_for_in_flight(&cluster, 0, 1);
+    cluster.nodes[0].terminate();
+    poll(LIMIT, "the daemon leaves", || {
+        let status = cluster.nodes[0].status()?;
+        (status["members"][0]["record"]["state"] == "leaving").then_some(())
+    });
+    cluster.nodes[0].terminate();
+    assert_eq!(
+        cluster.nodes[0].wait_for_exit(Duration::from_secs(2)),
+        Some(1)
+    );
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,6 +1,11 @@
 //! Fixtures: a platform stand-in, back-end stand-ins and daemons as processes on loopback.
 
+mod callers;
 mod cluster;
 mod poll;
+mod raw;
 
+pub(crate) use callers::{Call, Callers};
 pub(crate) use cluster::Cluster;
+pub(crate) use poll::poll;
+pub(crate) use raw::RawCaller;
--- /dev/null
+++ b/tests/testsuite/support/callers.rs
@@ -0,0 +1,73 @@
+//! Callers that keep calling while something happens to the daemons.
+
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded};
+use ureq::Agent;
+
+/// One answered or failed call.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) end: Instant,
+    /// Body of the answer if it has status 200, else what went wrong.
+    pub(crate) result: Result<String, String>,
+}
+
+/// Threads that call, each through one daemon until that daemon closes the connection.
+pub(crate) struct Callers {
+    stop: Sender<()>,
+    threads: Vec<JoinHandle<Vec<Call>>>,
+}
+
+impl Callers {
+    /// Starts `each` callers at each address.
+    pub(crate) fn start(addrs: &[SocketAddr], each: usize, path: &'static str) -> Self {
+        let (stop, stopped) = bounded::<()>(0);
+        let first = (0..addrs.len()).flat_map(|at| std::iter::repeat_n(at, each));
+        let threads = first.map(|at| {
+            let (addrs, stopped) = (addrs.to_vec(), stopped.clone());
+            thread::spawn(move || run(&addrs, at, path, &stopped))
+        });
+        Self {
+            threads: threads.collect(),
+            stop,
+        }
+    }
+
+    /// Ends the callers and gives their calls.
+    pub(crate) fn end(self) -> Vec<Call> {
+        drop(self.stop);
+        let threads = self.threads.into_iter();
+        threads.flat_map(|thread| thread.join().unwrap()).collect()
+    }
+}
+
+fn run(addrs: &[SocketAddr], mut at: usize, path: &str, stopped: &Receiver<()>) -> Vec<Call> {
+    let config = Agent::config_builder().http_status_as_error(false);
+    let agent: Agent = config
+        .timeout_global(Some(Duration::from_secs(30)))
+        .build()
+        .into();
+    let mut calls = Vec::new();
+    while stopped.try_recv() == Err(TryRecvError::Empty) {
+        let res = agent.post(format!("http://{}{path}", addrs[at])).send("x");
+        let is_closed = res
+            .as_ref()
+            .is_ok_and(|res| res.headers().contains_key("connection"));
+        at = (at + usize::from(is_closed)) % addrs.len();
+        let result = res.map_err(|err| err.to_string()).and_then(|mut res| {
+            let body = res.body_mut().read_to_string();
+            let body = body.map_err(|err| err.to_string())?;
+            if res.status() == 200 {
+                Ok(body)
+            } else {
+                Err(body)
+            }
+        });
+        let end = Instant::now();
+        calls.push(Call { end, result });
+    }
+    calls
+}
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -44,11 +44,18 @@
     platform_addr: SocketAddr,
     _server: PlatformServer,
     dir: PathBuf,
+    /// Further settings for each daemon.
+    settings: String,
 }
 
 impl Cluster {
     /// Starts the platform stand-in, and one daemon with a back end for each service named.
     pub(crate) fn start(services: &[&str]) -> Self {
+        Self::start_with_settings(services, "")
+    }
+
+    /// The same, with further settings for each daemon as lines of JSON.
+    pub(crate) fn start_with_settings(services: &[&str], settings: &str) -> Self {
         let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("cluster-{}-{number}", std::process::id()));
@@ -61,6 +68,7 @@
             platform_addr,
             _server: server,
             dir,
+            settings: settings.to_owned(),
         };
         for (n, service) in services.iter().enumerate() {
             cluster.add_node(&format!("n{n}"), service);
@@ -83,9 +91,10 @@
   "node": "{name}", "zone": "{zone}", "region": "region-1", "service": "{service}",
   "caller_addr": "{caller_addr}", "peer_addr": "{peer_addr}", "admin_addr": "{admin_addr}",
   "backend_addr": "{}", "platform": ["http://{}"],
-}}"#,
+{}}}"#,
             backend.addr(),
-            self.platform_addr
+            self.platform_addr,
+            self.settings
         );
         let settings = self.dir.join(format!("{name}.jsonc"));
         fs::write(&settings, text).unwrap();
@@ -181,6 +190,20 @@
         }
     }
 
+    /// Sends SIGTERM, as a planned stop of its VM would.
+    pub(crate) fn terminate(&self) {
+        let pid = self.process.as_ref().unwrap().id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits until the process has ended by itself and gives its exit code.
+    pub(crate) fn wait_for_exit(&mut self, limit: Duration) -> Option<i32> {
+        let process = self.process.as_mut().unwrap();
+        let ended = || process.try_wait().unwrap();
+        poll(limit, "end of the process", ended).code()
+    }
+
     /// What the daemon says about itself.
     pub(crate) fn status(&self) -> Option<serde_json::Value> {
         let mut res = ureq::get(format!("http://{}/status", self.admin_addr))
--- /dev/null
+++ b/tests/testsuite/support/raw.rs
@@ -0,0 +1,65 @@
+//! A caller that writes bytes of its own to a port.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A connection to a port for callers.
+pub(crate) struct RawCaller(TcpStream);
+
+impl RawCaller {
+    pub(crate) fn connect(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        Self(stream)
+    }
+
+    /// Writes bytes, and says whether the connection still took them.
+    pub(crate) fn send(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).is_ok()
+    }
+
+    /// Closes the direction to the daemon and keeps the other open.
+    pub(crate) fn half_close(&self) {
+        self.0.shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Reads one answer with a `Content-Length`, as text; `None` if the connection ended before.
+    pub(crate) fn answer(&mut self) -> Option<String> {
+        let mut text = self.until("\r\n\r\n");
+        let length = text.to_lowercase();
+        let length = length.split_once("content-length: ")?.1;
+        let length = length.split_once("\r\n")?.0.parse().unwrap();
+        for _ in 0..length {
+            text.push(self.byte()?);
+        }
+        Some(text)
+    }
+
+    /// Reads up to and including `end`, or to the end of the connection.
+    pub(crate) fn until(&mut self, end: &str) -> String {
+        let mut text = String::new();
+        while !text.ends_with(end) {
+            let Some(byte) = self.byte() else { break };
+            text.push(byte);
+        }
+        text
+    }
+
+    /// Whether the daemon has closed the connection without sending more.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        self.byte().is_none()
+    }
+
+    fn byte(&mut self) -> Option<char> {
+        let mut byte = [0];
+        match self.0.read(&mut byte) {
+            Ok(0) => None,
+            Ok(_) => Some(char::from(byte[0])),
+            Err(err) if err.kind() == std::io::ErrorKind::ConnectionReset => None,
+            Err(err) => panic!("no byte: {err}"),
+        }
+    }
+}
