Serve callers with an HTTP/1.1 server of the daemon's own

Cause: with oxhttp 0.3.3 at the port for callers, a signed length, bare line feeds in the head and 1000 headers run; pipelined requests are lost; a body beyond the limit is answered with 500 after the idle timeout; a caller that sends a byte now and then holds its thread; callers beyond the connection limit wait in silence; and the announcement Connection: close is dropped from an answer. Change: crates/lavenderhatch-daemon/src/http reads a request whole within one deadline, with httparse (the parser below oxhttp) for the head, and writes whole answers.

--- a/crates/lavenderhatch-daemon/src/lib.rs
+++ b/crates/lavenderhatch-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admin;
 pub mod controller;
 mod daemon;
+mod http;
 pub mod peer;
 pub mod request;
 
