--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/stops/report.rs
@@ -0,0 +1,172 @@
+//! Figures of all runs.
+
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use crate::callers::{Call, End};
+
+/// The daemon that leaves.
+const LEAVER: usize = 0;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// What one run saw.
+pub(crate) struct Run {
+    /// Start of the stop, or the signal.
+    pub(crate) start: Instant,
+    /// Time of a request on the back end.
+    pub(crate) service: Duration,
+    /// Phase of the stop at the end of the run.
+    pub(crate) phase: String,
+    pub(crate) calls: Vec<Call>,
+}
+
+/// Latencies of a class of calls.
+struct Class {
+    name: &'static str,
+    latencies: Histogram<u64>,
+}
+
+/// Figures of all runs.
+pub(crate) struct Report {
+    calls: u64,
+    cut: u64,
+    not_run: u64,
+    not_connected: u64,
+    carried: u64,
+    phases: Vec<String>,
+    /// Time from the start until the last new request reached the back end, by run.
+    last_new_ms: Vec<f64>,
+    /// In the order of [`class`].
+    classes: Vec<Class>,
+}
+
+/// The class of a call: where it entered, where it ran, and when.
+fn class(call: &Call, start: Instant) -> Option<usize> {
+    let End::Ran(server) = call.end else {
+        return None;
+    };
+    match (call.entered == LEAVER, server == LEAVER, call.begin < start) {
+        (true, true, true) => Some(0),
+        (true, false, true) => Some(1),
+        (true, false, false) => Some(2),
+        (false, false, false) => Some(3),
+        _ => None,
+    }
+}
+
+impl Report {
+    pub(crate) fn new() -> Result<Self> {
+        let names = [
+            "at the leaver, run there, before the start",
+            "at the leaver, run elsewhere, before the start",
+            "at the leaver, carried elsewhere, after the start",
+            "at others, run at others, after the start",
+        ];
+        let class = |name| {
+            let latencies = Histogram::new_with_max(MAX_LATENCY_US, 3)?;
+            Ok(Class { name, latencies })
+        };
+        Ok(Self {
+            calls: 0,
+            cut: 0,
+            not_run: 0,
+            not_connected: 0,
+            carried: 0,
+            phases: Vec::new(),
+            last_new_ms: Vec::new(),
+            classes: names.into_iter().map(class).collect::<Result<_>>()?,
+        })
+    }
+
+    /// Adds the calls of a run.
+    pub(crate) fn add(&mut self, run: &Run) {
+        let count = |end: End| run.calls.iter().filter(|call| call.end == end).count() as u64;
+        self.calls += run.calls.len() as u64;
+        self.cut += count(End::Cut);
+        self.not_run += count(End::NotRun);
+        self.not_connected += count(End::NotConnected);
+        self.phases.push(run.phase.clone());
+        self.last_new_ms.push(last_new_ms(run));
+        for call in &run.calls {
+            let Some(class) = class(call, run.start) else {
+                continue;
+            };
+            self.carried += u64::from(class == 2);
+            let latency = (call.end_at - call.begin).as_micros() as u64;
+            self.classes[class].latencies.saturating_record(latency);
+        }
+    }
+
+    pub(crate) fn print_table(&self) {
+        println!("calls                                   {:>10}", self.calls);
+        println!("calls cut                               {:>10}", self.cut);
+        println!(
+            "calls refused with not-run              {:>10}",
+            self.not_run
+        );
+        println!(
+            "connections refused                     {:>10}",
+            self.not_connected
+        );
+        println!(
+            "calls carried elsewhere by the leaver   {:>10}",
+            self.carried
+        );
+        println!(
+            "last new request after the start, ms    {:>10.1?}",
+            self.last_new_ms
+        );
+        println!("phase at the end                        {:?}", self.phases);
+        println!(
+            "\n{:<52}{:>9}{:>9}{:>9}",
+            "latency in ms", "calls", "p50", "p99"
+        );
+        for class in &self.classes {
+            let ms = |quantile| class.latencies.value_at_quantile(quantile) as f64 / 1000.0;
+            let count = class.latencies.len();
+            println!(
+                "{:<52}{count:>9}{:>9.2}{:>9.2}",
+                class.name,
+                ms(0.5),
+                ms(0.99)
+            );
+        }
+    }
+
+    pub(crate) fn print_json(&self) {
+        let classes = self.classes.iter().map(|class| {
+            json!({
+                "class": class.name,
+                "calls": class.latencies.len(),
+                "p50_us": class.latencies.value_at_quantile(0.5),
+                "p99_us": class.latencies.value_at_quantile(0.99),
+            })
+        });
+        let report = json!({
+            "calls": self.calls,
+            "cut": self.cut,
+            "not_run": self.not_run,
+            "not_connected": self.not_connected,
+            "carried": self.carried,
+            "last_new_ms": self.last_new_ms,
+            "phases": self.phases,
+            "latencies": classes.collect::<Vec<Value>>(),
+        });
+        println!("{report:#}");
+    }
+}
+
+/// Time from the start until the last request began on the leaver's back end, at the latest. It is
+/// negative if the last one began before the start.
+fn last_new_ms(run: &Run) -> f64 {
+    let there = run.calls.iter().filter(|call| call.end == End::Ran(LEAVER));
+    let last = there.map(|call| call.end_at - run.service).max();
+    let Some(last) = last else { return 0.0 };
+    let after = last.saturating_duration_since(run.start).as_secs_f64();
+    let before = run.start.saturating_duration_since(last).as_secs_f64();
+    (after - before) * 1000.0
+}
