Derive endpoints and phases in one pass, and only when something changed

Cause: each publication of the members made the endpoint and stop controllers walk all members, and the walk took the product of members and stops; at 22,000 members that exceeds the budget of 2.5% of a core. Change: records are compared by address, services are counted once, stops are sorted by server; the stop controller looks once a second instead of at each heartbeat.

--- a/crates/lavenderhatch-bench/src/bin/stops/fleet.rs
+++ b/crates/lavenderhatch-bench/src/bin/stops/fleet.rs
@@ -125,7 +125,8 @@
         let ticks = tick(POLL_INTERVAL);
         for node in &self.nodes {
             while !self.is_ready(node) {
-                ensure!(Instant::now() < deadline, "the daemons are not ready");
+                let status = || status(node).unwrap_or_default();
+                ensure!(Instant::now() < deadline, "not ready: {}", status());
                 let _ = ticks.recv();
             }
         }
--- a/crates/lavenderhatch-core/src/drain.rs
+++ b/crates/lavenderhatch-core/src/drain.rs
@@ -99,12 +99,11 @@
         }
     }
 
-    /// Whether a planned stop keeps new work from this backend server.
-    pub fn is_stopping(&self, node: &NodeId) -> bool {
-        let is_stopping = |stop: &StopStatus| {
-            let leaves = matches!(stop.phase, StopPhase::Leaving | StopPhase::Overdue);
-            leaves && stop.backend_server == *node
-        };
-        self.stops.values().any(is_stopping)
+    /// Backend servers from which a planned stop keeps new work.
+    pub fn stopping(&self) -> impl Iterator<Item = &NodeId> {
+        let is_stopping =
+            |stop: &&StopStatus| matches!(stop.phase, StopPhase::Leaving | StopPhase::Overdue);
+        let stopping = self.stops.values().filter(is_stopping);
+        stopping.map(|stop| &stop.backend_server)
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller/endpoint.rs
+++ b/crates/lavenderhatch-daemon/src/controller/endpoint.rs
@@ -16,7 +16,7 @@
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
 
-/// Time between two judgements of the backend servers, and between two steps of a slow start.
+/// Time between two judgements of the backend servers.
 const JUDGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the controller is connected to.
@@ -58,8 +58,11 @@
 
     fn publish(&self, tracker: &mut EndpointTracker) {
         let now = Timestamp::from_system_clock();
-        let endpoints = tracker.derive(&self.members.load(), &self.drains.load(), now);
-        self.endpoints.publish(endpoints);
+        let (members, drains) = (self.members.load(), self.drains.load());
+        if tracker.is_outdated(&members, &drains, now) {
+            self.endpoints
+                .publish(tracker.derive(&members, &drains, now));
+        }
     }
 
     fn judge(&self, tracker: &mut EndpointTracker) {
--- a/crates/lavenderhatch-daemon/src/controller/stop.rs
+++ b/crates/lavenderhatch-daemon/src/controller/stop.rs
@@ -19,7 +19,9 @@
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
 
-/// Longest time between two evaluations. It bounds the effect of a step of the system clock.
+/// Longest time between two evaluations. It bounds the effect of a step of the system clock, and the
+/// time until a held stop goes on. Members are not subscribed to, because they are published with
+/// each heartbeat.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two evaluations while requests are in flight on a backend server that leaves.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
@@ -75,7 +77,6 @@
 
     fn run(self, stop: &Receiver<()>) {
         let config_woken = self.config.subscribe();
-        let members_woken = self.members.subscribe();
         let mut departing: Option<Departing> = None;
         loop {
             let now = Timestamp::from_system_clock();
@@ -97,7 +98,6 @@
                     Err(_) => return,
                 },
                 recv(config_woken) -> _ => {}
-                recv(members_woken) -> _ => {}
                 recv(after(wait)) -> _ => {}
             }
         }
--- a/crates/lavenderhatch-decide/src/endpoints/weight.rs
+++ b/crates/lavenderhatch-decide/src/endpoints/weight.rs
@@ -7,7 +7,7 @@
 /// Weight of a backend server that has just begun to serve, in thousandths.
 const FIRST_WEIGHT: u32 = FULL_WEIGHT / 10;
 /// Time after which the full weight is reached.
-const SLOW_START: Duration = Duration::from_secs(20);
+pub(super) const SLOW_START: Duration = Duration::from_secs(20);
 
 /// Weight of a backend server that has served for `age`, in thousandths: a tenth at first, growing
 /// evenly to the full weight.
--- a/crates/lavenderhatch-decide/src/stops/grant.rs
+++ b/crates/lavenderhatch-decide/src/stops/grant.rs
@@ -1,8 +1,8 @@
 //! Which backend servers may leave while their service keeps at least one.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
-use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Timestamp};
+use lavenderhatch_core::{MemberRecord, MemberState, NodeId, ServiceName, Timestamp};
 
 use super::view::StopsView;
 use super::window::Window;
@@ -10,49 +10,62 @@
 /// Backend servers that may leave at `now`.
 ///
 /// Stops are granted in the order of the windows, so that daemons with the same view let the same
-/// backend servers go when stops of one service meet.
+/// backend servers go when stops of one service meet. Takes one pass over the members.
 pub(super) fn granted<'a>(
     view: &StopsView<'a>,
     windows: &[Window<'a>],
     now: Timestamp,
 ) -> BTreeSet<&'a NodeId> {
     let mut granted = BTreeSet::new();
-    for window in windows.iter().filter(|window| window.has_started(now)) {
+    let started = windows.iter().filter(|window| window.has_started(now));
+    let mut started = started.peekable();
+    if started.peek().is_none() {
+        return granted;
+    }
+    let mut serving = count_serving(view);
+    for window in started {
         let Some(record) = view.record(window.node) else {
             continue;
         };
-        if window.concerns(record) && may_leave(view, window, record, &granted) {
+        let is_new = !granted.contains(window.node);
+        if is_new && window.concerns(record) && may_leave(view, window, record, &serving) {
             granted.insert(window.node);
+            if let Some(count) = serving.get_mut(&record.service) {
+                *count -= usize::from(serves(view, window.node));
+            }
         }
     }
     granted
 }
 
+/// Backend servers that serve, by service.
+fn count_serving<'a>(view: &StopsView<'a>) -> HashMap<&'a ServiceName, usize> {
+    let mut serving = HashMap::new();
+    for record in view.members.by_id.values() {
+        if serves(view, &record.id) {
+            *serving.entry(&record.service).or_insert(0) += 1;
+        }
+    }
+    serving
+}
+
+/// Whether a backend server says that it serves, and is not about to leave for a signal.
+fn serves(view: &StopsView<'_>, node: &NodeId) -> bool {
+    let record = view.members.get(node.as_str());
+    let is_serving = record.is_some_and(|record| record.state == MemberState::Serving);
+    is_serving && !(view.is_signalled && *node == view.own.id)
+}
+
 fn may_leave(
     view: &StopsView<'_>,
     window: &Window<'_>,
     record: &MemberRecord,
-    granted: &BTreeSet<&NodeId>,
+    serving: &HashMap<&ServiceName, usize>,
 ) -> bool {
     let is_own = record.id == view.own.id;
     let has_drained = is_own && window.names.iter().any(|name| view.has_drained(name));
     let is_running = record.state <= MemberState::Leaving;
-    has_drained || !is_running || another_serves(view, record, granted)
-}
-
-/// Whether the service keeps a backend server other than `leaver`.
-fn another_serves(
-    view: &StopsView<'_>,
-    leaver: &MemberRecord,
-    granted: &BTreeSet<&NodeId>,
-) -> bool {
-    let others = view.members.by_id.values();
-    let mut others = others.filter(|other| other.service == leaver.service);
-    others.any(|other| {
-        let is_signalled = view.is_signalled && other.id == view.own.id;
-        other.state == MemberState::Serving
-            && other.id != leaver.id
-            && !granted.contains(&other.id)
-            && !is_signalled
-    })
+    let count = serving.get(&record.service).copied().unwrap_or(0);
+    let another_serves = count > usize::from(serves(view, window.node));
+    has_drained || !is_running || another_serves
 }
--- a/crates/lavenderhatch-decide/src/stops/window.rs
+++ b/crates/lavenderhatch-decide/src/stops/window.rs
@@ -35,10 +35,10 @@
 /// which all daemons let backend servers go.
 pub(super) fn windows(stops: &BTreeMap<StopName, Stop>) -> Vec<Window<'_>> {
     let mut sorted: Vec<(&StopName, &Stop)> = stops.iter().collect();
-    sorted.sort_by_key(|(name, stop)| (stop.start, *name));
+    sorted.sort_by_key(|(name, stop)| (&stop.backend_server, stop.start, *name));
     let mut windows: Vec<Window<'_>> = Vec::new();
     for (name, stop) in sorted {
-        match windows.iter_mut().find(|window| window.overlaps(stop)) {
+        match windows.last_mut().filter(|window| window.overlaps(stop)) {
             Some(window) => {
                 window.names.push(name);
                 window.deadline = window.deadline.max(stop.deadline);
