--- a/crates/lavenderhatch-bench/src/bin/stops/callers.rs
+++ b/crates/lavenderhatch-bench/src/bin/stops/callers.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded};
+use lavenderhatch_platform::ip_agent;
 use ureq::http::Response;
 use ureq::{Agent, Body};
 
@@ -76,7 +77,7 @@
 
 fn run(addrs: &[SocketAddr], mut at: usize, moves: Moves, stopped: &Receiver<()>) -> Vec<Call> {
     let config = Agent::config_builder().http_status_as_error(false);
-    let agent: Agent = config.timeout_global(Some(TIMEOUT)).build().into();
+    let agent = ip_agent(config.timeout_global(Some(TIMEOUT)).build());
     let mut calls = Vec::new();
     while stopped.try_recv() == Err(TryRecvError::Empty) {
         let begin = Instant::now();
--- a/crates/lavenderhatch-bench/src/bin/stops/main.rs
+++ b/crates/lavenderhatch-bench/src/bin/stops/main.rs
@@ -2,24 +2,29 @@
 //! end, requests cut, calls carried elsewhere, and what the detour adds to a call.
 
 mod callers;
-mod fleet;
 mod report;
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use crossbeam::channel::after;
-use eyre::{Result, eyre};
+use eyre::{Result, ensure, eyre};
+use lavenderhatch_bench::{Fleet, FleetNode, NodeOptions};
+use lavenderhatch_standin::{BackendStandin, Behaviour};
 
 use callers::{Callers, Moves};
-use fleet::{Fleet, Programs};
 use report::{Report, Run};
 
 /// Time between the acceptance of a stop and its start, in which it reaches all daemons.
 const LEAD: Duration = Duration::from_secs(2);
 
+/// Time between the start of the stop and its deadline.
+const STOP_TIME: Duration = Duration::from_secs(600);
+/// Slots of each back end, more than there are callers.
+const SLOTS: u32 = 512;
+
 /// What is measured.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
@@ -78,13 +83,6 @@
             "Where callers reconnect",
         ))
         .arg(choice("output", ["text", "json"], "Format of the output"))
-        .arg(
-            Arg::new("programs")
-                .long("programs")
-                .value_name("DIR")
-                .help("Directory of lavenderhatch and lavenderhatchd; default: that of this one")
-                .value_parser(value_parser!(PathBuf)),
-        )
 }
 
 fn run(args: &ArgMatches) -> Result<()> {
@@ -102,10 +100,9 @@
             false => Moves::Never,
         },
     };
-    let programs = Programs::find(args.get_one("programs"))?;
     let mut report = Report::new()?;
     for _ in 0..number("runs") {
-        report.add(&measure(&plan, &programs)?);
+        report.add(&measure(&plan)?);
     }
     match is("output", "json") {
         true => report.print_json(),
@@ -115,30 +112,91 @@
 }
 
 /// One run: load, a stop of the first daemon, load.
-fn measure(plan: &Plan, programs: &Programs) -> Result<Run> {
-    let fleet = Fleet::start(programs, plan.daemons, plan.service_ms)?;
-    let callers = Callers::start(&fleet.caller_addrs(), plan.callers, plan.moves);
+fn measure(plan: &Plan) -> Result<Run> {
+    let dir = std::env::temp_dir().join(format!("lavenderhatch-stops-{}", std::process::id()));
+    let mut fleet = Fleet::open(&dir)?;
+    let _backends = start_nodes(&mut fleet, plan)?;
+    let addrs: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.caller_addr).collect();
+    let callers = Callers::start(&addrs, plan.callers, plan.moves);
     wait(plan.warm)?;
     let start = match plan.is_signal {
         true => {
-            fleet.signal_first()?;
+            send_sigterm(fleet.nodes[0].pid())?;
             Instant::now()
         }
         false => {
             let start = Instant::now() + LEAD;
-            fleet.apply_stop_of_first(SystemTime::now() + LEAD)?;
+            fleet.apply(&mesh(&stop_of_first(SystemTime::now() + LEAD)))?;
             wait(start.saturating_duration_since(Instant::now()))?;
             start
         }
     };
     wait(plan.after)?;
-    let phase = fleet.phase_of_first();
-    Ok(Run {
+    let run = Run {
         start,
         service: Duration::from_millis(plan.service_ms),
-        phase,
+        phase: phase(&fleet.nodes[0]),
         calls: callers.end(),
-    })
+    };
+    drop(fleet);
+    std::fs::remove_dir_all(&dir)?;
+    Ok(run)
+}
+
+fn start_nodes(fleet: &mut Fleet, plan: &Plan) -> Result<Vec<BackendStandin>> {
+    let behaviour = Behaviour {
+        slots: SLOTS,
+        service_ms: plan.service_ms,
+        ..Behaviour::default()
+    };
+    let mut backends = Vec::new();
+    for number in 0..plan.daemons {
+        let name = format!("n{number}");
+        let backend = BackendStandin::bind(Fleet::free_addr(), &name, behaviour.clone())?;
+        fleet.add_node(&NodeOptions {
+            name: &name,
+            zone: "zone-a",
+            service: "work",
+            backend: backend.addr(),
+        })?;
+        backends.push(backend);
+    }
+    fleet.wait_for_members(plan.daemons)?;
+    let version = fleet.apply(&mesh(""))?;
+    fleet.wait_for_version(version)?;
+    Ok(backends)
+}
+
+fn mesh(stops: &str) -> String {
+    format!(
+        r#"{{ "ranks": {{ "urgent": {{ "target_ms": 50, "worth": 100, "share": 0.4 }} }},
+  "services": {{ "work": {{ "slots": {SLOTS} }} }},
+  "routes": {{ "work": {{ "path": "/work", "service": "work", "rank": "urgent",
+                         "timeout_ms": 8000, "idempotent": false }} }},
+  "stops": {{ {stops} }} }}"#
+    )
+}
+
+fn stop_of_first(start: SystemTime) -> String {
+    let text = |time| humantime::format_rfc3339_millis(time).to_string();
+    let (start, deadline) = (text(start), text(start + STOP_TIME));
+    format!(r#""stop": {{ "backend_server": "n0", "start": "{start}", "deadline": "{deadline}" }}"#)
+}
+
+fn send_sigterm(pid: u32) -> Result<()> {
+    let mut kill = std::process::Command::new("kill");
+    let status = kill.args(["-TERM", &pid.to_string()]).status()?;
+    ensure!(status.success(), "cannot send a signal to {pid}");
+    Ok(())
+}
+
+/// Phase of the stop as the daemon sees it.
+fn phase(node: &FleetNode) -> String {
+    let Some(status) = node.status() else {
+        return "process has ended".to_owned();
+    };
+    let phase = status["stops"]["stop"]["phase"].as_str();
+    phase.unwrap_or("leaving for a signal").to_owned()
 }
 
 fn wait(time: Duration) -> Result<()> {
