Leave at once after a restart in the middle of a stop

Cause: a restarted daemon that knew no other member yet took its stop for one of the last server and served. Conclusion: covered by restarted_daemon_leaves_before_it_knows_others, which gives held before.

--- a/crates/lavenderhatch-decide/src/stops/grant.rs
+++ b/crates/lavenderhatch-decide/src/stops/grant.rs
@@ -64,8 +64,11 @@
 ) -> bool {
     let is_own = record.id == view.own.id;
     let has_drained = is_own && window.names.iter().any(|name| view.has_drained(name));
+    // A daemon that was restarted in the middle of its stop does not serve before it has heard of
+    // the others.
+    let knows_nobody = is_own && !view.members.is_joined && view.members.by_id.len() <= 1;
     let is_running = record.state <= MemberState::Leaving;
     let count = serving.get(&record.service).copied().unwrap_or(0);
     let another_serves = count > usize::from(serves(view, window.node));
-    has_drained || !is_running || another_serves
+    has_drained || knows_nobody || !is_running || another_serves
 }
--- a/crates/lavenderhatch-decide/tests/testsuite/member_fixture.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/member_fixture.rs
@@ -34,6 +34,7 @@
     let by_id = records.into_iter().map(|r| (r.id.clone(), Arc::new(r)));
     Members {
         by_id: by_id.collect(),
+        is_joined: true,
         ..Members::default()
     }
 }
--- a/crates/lavenderhatch-decide/tests/testsuite/stops.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/stops.rs
@@ -28,6 +28,7 @@
     stops: BTreeMap<StopName, Stop>,
     drains: Drains,
     is_signalled: bool,
+    is_joined: bool,
 }
 
 impl Daemon {
@@ -41,6 +42,7 @@
             stops: BTreeMap::new(),
             drains: Drains::default(),
             is_signalled: false,
+            is_joined: true,
         };
         daemon.set_stops(stops);
         daemon
@@ -72,10 +74,12 @@
     fn step(&mut self, now: Timestamp, in_flight: u32) -> StopsDecision {
         let mut own = self.own.clone();
         own.state = self.drains.own_state();
+        let mut members = members(self.others.iter().cloned().chain([own]));
+        members.is_joined = self.is_joined;
         let view = StopsView {
             own: &self.own,
             stops: &self.stops,
-            members: &members(self.others.iter().cloned().chain([own])),
+            members: &members,
             previous: &self.drains,
             is_signalled: self.is_signalled,
             in_flight,
@@ -161,6 +165,17 @@
     assert_eq!(daemon.outcome(DEADLINE, 1).0, Some(late));
 }
 
+/// Guards against a daemon that is restarted in the middle of its stop and takes work because it has
+/// not heard of the other servers yet.
+#[test]
+fn restarted_daemon_leaves_before_it_knows_others() {
+    let mut daemon = Daemon::new(&[], ONE_STOP);
+    daemon.is_joined = false;
+    assert_eq!(daemon.outcome(150, 1).0, Some(Leaving));
+    daemon.is_joined = true;
+    assert_eq!(daemon.outcome(151, 1).0, Some(Held));
+}
+
 /// Guards against a held stop that never goes on, and against one that goes on although the other
 /// server has failed meanwhile.
 #[test]
