Test the path of a call on a daemon that leaves

Cause: no test brought about the call of a peer that has not heard of a stop. Change: the path with a stand-in for back end and peers.

--- /dev/null
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -0,0 +1,185 @@
+//! The path of a call on a daemon that leaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use lavenderhatch_core::blackboard::{Blackboard, Writers};
+use lavenderhatch_core::call::{CallAnswer, CallView, StoredCall};
+use lavenderhatch_core::drain::{Drains, LeaveReason};
+use lavenderhatch_core::endpoint::{Endpoint, Endpoints, FULL_WEIGHT};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{
+    ConfigSnapshot, Error, ErrorKind, Incarnation, Mesh, NodeId, Timestamp, Version, Zone,
+};
+use lavenderhatch_daemon::peer::PeerError;
+use lavenderhatch_daemon::request::{Backend, IncomingRequest, PeerCaller, RequestPath};
+use lavenderhatch_files::{Source, parse_mesh};
+use rstest::rstest;
+
+const MESH: &str = r#"{
+  "ranks": { "urgent": { "target_ms": 50, "worth": 100, "share": 0.4 } },
+  "services": { "orders": { "slots": 12 } },
+  "routes": { "place-order": { "path": "/orders", "service": "orders", "rank": "urgent",
+              "timeout_ms": 2000, "idempotent": false } },
+}"#;
+
+fn ran(body: &str) -> CallAnswer {
+    CallAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.into(),
+        outcome: Outcome::Ran,
+        error: None,
+        retry_after_ms: None,
+        is_retry_exhausted: false,
+    }
+}
+
+struct Here;
+
+impl Backend for Here {
+    fn run(&self, _: &CallView<'_>, _: Duration) -> Result<CallAnswer, Error> {
+        Ok(ran("here"))
+    }
+}
+
+/// Daemons of other servers. Of these, the first few that are called refuse because they leave.
+struct There {
+    refusals: u32,
+    calls: AtomicU32,
+}
+
+impl PeerCaller for There {
+    fn carry(
+        &self,
+        _: SocketAddr,
+        _: &Arc<StoredCall>,
+        _: Duration,
+    ) -> Result<CallAnswer, PeerError> {
+        match self.calls.fetch_add(1, Ordering::Relaxed) < self.refusals {
+            true => Ok(CallAnswer::from_error(ErrorKind::Leaving, "leaving")),
+            false => Ok(ran("there")),
+        }
+    }
+}
+
+fn endpoint(node: &str) -> Endpoint {
+    Endpoint {
+        node: NodeId::new(node).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("zone-a").unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        slots: 12,
+        weight: FULL_WEIGHT,
+        is_last_resort: false,
+        counters: Arc::default(),
+    }
+}
+
+/// The daemon of `n0` among `n0` to `n5`, which still takes all of them for serving.
+fn open(refusals: u32) -> (RequestPath<Here, There>, Blackboard, Writers) {
+    let (board, writers) = Blackboard::open();
+    let mesh: Mesh = parse_mesh(&[Source::new("mesh.jsonc", MESH)]).unwrap();
+    let config = ConfigSnapshot::new(Version(1), Arc::new(mesh), Timestamp(1));
+    writers.config.publish(Some(config));
+    let mut endpoints = Endpoints::default();
+    let of_service = endpoints
+        .by_service
+        .entry("orders".to_owned().try_into().unwrap());
+    let of_service = of_service.or_default();
+    of_service
+        .endpoints
+        .extend((0..6).map(|n| endpoint(&format!("n{n}"))));
+    writers.endpoints.publish(endpoints);
+    let own = NodeId::new("n0").unwrap();
+    let calls = AtomicU32::new(0);
+    let path = RequestPath::new(own, board.clone(), Here, There { refusals, calls });
+    (path, board, writers)
+}
+
+fn leave(writers: &Writers) {
+    let in_flight = Arc::clone(&writers.drains.load().in_flight);
+    writers.drains.publish(Drains {
+        own: Some(LeaveReason::Signal),
+        in_flight,
+        ..Drains::default()
+    });
+}
+
+fn call_of_peer() -> StoredCall {
+    StoredCall {
+        id: "1".into(),
+        method: "POST".into(),
+        target: "/orders".into(),
+        route: "place-order".into(),
+        rank: "urgent".into(),
+        service: "orders".into(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        key: None,
+        is_idempotent: false,
+        time_left_ms: 1000,
+        depth: 1,
+    }
+}
+
+/// Guards against work that peers bring after the start of a stop because they have not heard.
+#[test]
+fn leaving_daemon_refuses_peers() {
+    let (path, _board, writers) = open(0);
+    assert_eq!(path.run_for_peer(&call_of_peer()).body, b"here");
+    leave(&writers);
+    let answer = path.run_for_peer(&call_of_peer());
+    let refused = (Some(ErrorKind::Leaving), Outcome::NotRun);
+    assert_eq!((answer.error, answer.outcome), refused);
+}
+
+/// Guards against work that a restarted daemon takes before it knows its own stops.
+#[test]
+fn daemon_without_configuration_refuses_peers() {
+    let (path, _board, writers) = open(0);
+    writers.config.publish(None);
+    let answer = path.run_for_peer(&call_of_peer());
+    assert_eq!(answer.error, Some(ErrorKind::NotReady));
+}
+
+/// Guards against calls of callers that run on the leaving server or are refused, and against
+/// refusals of other leaving servers that use up the attempts of a call.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(4)]
+fn calls_are_carried_past_leaving_servers(#[case] refusals: u32) {
+    for seed in 0..32_u64 {
+        let (path, _board, writers) = open(refusals);
+        leave(&writers);
+        let req = IncomingRequest {
+            method: "POST",
+            target: "/orders",
+            headers: &[],
+            body: &[],
+            key: None,
+            deadline: None,
+            depth: 0,
+            call_id: None,
+        };
+        let mut random = || seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        assert_eq!(path.handle(&req, &mut random).body, b"there");
+    }
+}
+
+/// Guards against a process that ends while a request is in flight, and against one that starts a
+/// request once it may end.
+#[test]
+fn daemon_ends_only_without_requests() {
+    let (path, board, _writers) = open(0);
+    let in_flight = Arc::clone(&board.drains.load().in_flight);
+    let guard = path.enter().unwrap();
+    assert_eq!((in_flight.count(), in_flight.try_close()), (1, false));
+    drop(guard);
+    assert!(in_flight.try_close());
+    let refused = path.enter().map(drop).map_err(|err| err.kind());
+    assert_eq!((refused, in_flight.count()), (Err(ErrorKind::Leaving), 0));
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of parts of the daemon without sockets.
+
+#![allow(clippy::unwrap_used)]
+
+mod leaving;
