Show a stop as leaving where a signal already makes the server leave

Cause: the stop of a last server showed held although the daemon was leaving for a signal. Change: a signalled daemon is not held. Conclusion: covered by signal_makes_even_the_last_server_leave.

--- a/crates/lavenderhatch-decide/src/stops/grant.rs
+++ b/crates/lavenderhatch-decide/src/stops/grant.rs
@@ -67,8 +67,10 @@
     // A daemon that was restarted in the middle of its stop does not serve before it has heard of
     // the others.
     let knows_nobody = is_own && !view.members.is_joined && view.members.by_id.len() <= 1;
-    let is_running = record.state <= MemberState::Leaving;
+    // A daemon that leaves for a signal, or is not running, cannot be held.
+    let is_signalled = is_own && view.is_signalled;
+    let is_gone = is_signalled || record.state > MemberState::Leaving;
     let count = serving.get(&record.service).copied().unwrap_or(0);
     let another_serves = count > usize::from(serves(view, window.node));
-    has_drained || knows_nobody || !is_running || another_serves
+    has_drained || knows_nobody || is_gone || another_serves
 }
--- a/crates/lavenderhatch-decide/tests/testsuite/stops.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/stops.rs
@@ -285,7 +285,7 @@
 /// Guards against a signal that is held or withdrawn: the machine goes away in any case.
 #[test]
 fn signal_makes_even_the_last_server_leave() {
-    let mut daemon = Daemon::new(&[], &[]);
+    let mut daemon = Daemon::new(&[], ONE_STOP);
     daemon.is_signalled = true;
     let expected = [
         (1, MemberState::Leaving),
@@ -293,7 +293,8 @@
         (1, MemberState::Left),
     ];
     for (in_flight, state) in expected {
-        let decision = daemon.step(at(10), in_flight);
+        let decision = daemon.step(at(START), in_flight);
+        assert!(decision.stops["a"].phase >= Leaving);
         assert_eq!(decision.own, Some(LeaveReason::Signal));
         assert_eq!(daemon.drains.own_state(), state);
     }
