Test the ejection of a failing server with real daemons

Cause: the wiring from calls to counters, judgement and choice had no test. Change: a back end that fails each request and claims health is ejected.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod callers;
+mod endpoints;
 mod stops;
 mod support;
 mod whole_path;
