--- a/crates/lavenderhatch-daemon/src/controller/stop.rs
+++ b/crates/lavenderhatch-daemon/src/controller/stop.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, after, bounded, never, select};
 use eyre::Result;
@@ -59,10 +59,17 @@
 
 /// A leave for good.
 struct Departing {
-    since: Timestamp,
+    since: Instant,
     done: Sender<()>,
 }
 
+impl Departing {
+    fn new(done: Sender<()>) -> Self {
+        let since = Instant::now();
+        Self { since, done }
+    }
+}
+
 impl StopController {
     /// The queue of requests to leave for good.
     pub fn channel() -> (LeaveSender, Receiver<Sender<()>>) {
@@ -81,10 +88,7 @@
         loop {
             let now = Timestamp::from_system_clock();
             let wait = self.evaluate(departing.is_some(), now);
-            if departing
-                .as_ref()
-                .is_some_and(|leave| self.depart(leave, now))
-            {
+            if departing.as_ref().is_some_and(|leave| self.depart(leave)) {
                 return;
             }
             let leaves = match departing {
@@ -94,7 +98,7 @@
             select! {
                 recv(stop) -> _ => return,
                 recv(leaves) -> done => match done {
-                    Ok(done) => departing = Some(Departing { since: now, done }),
+                    Ok(done) => departing = Some(Departing::new(done)),
                     Err(_) => return,
                 },
                 recv(config_woken) -> _ => {}
@@ -146,10 +150,10 @@
     }
 
     /// Ends the daemon's work if it is time to, and says whether it did.
-    fn depart(&self, leave: &Departing, now: Timestamp) -> bool {
+    fn depart(&self, leave: &Departing) -> bool {
         let in_flight = &self.drains.load().in_flight;
         let has_peers = !self.members.load().links.is_empty();
-        let is_over = match evaluate_departure(now.since(leave.since), has_peers) {
+        let is_over = match evaluate_departure(leave.since.elapsed(), has_peers) {
             Departure::Wait => false,
             Departure::EndIfIdle => in_flight.try_close(),
             Departure::EndOnceIdle => {
