Run orders at most once: issued keys and group commit of claims

Cause: a keyed order was handed to a back end without a claim, so the same key could run twice. Change: decisions in lavenderhatch-decide::orders, the order controller with its platform threads, and the hook in request/order.rs.

--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -8,6 +8,8 @@
 mod endpoint;
 mod handle;
 mod membership;
+mod order;
+mod order_io;
 mod platform_reader;
 
 pub(crate) use platform_reader::news_channel;
@@ -17,4 +19,5 @@
 pub use endpoint::EndpointController;
 pub use handle::ControllerHandle;
 pub use membership::MembershipController;
+pub use order::OrderController;
 pub use platform_reader::{PlatformReader, RootNews};
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/order.rs
@@ -0,0 +1,390 @@
+//! Keeps orders at most once: what this daemon runs, and the claim ranges that it owns. Writes the
+//! `claims` section.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, after, select, tick};
+use eyre::Result;
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
+use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
+use lavenderhatch_core::claims::ClaimsView;
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::mesh::Limits;
+use lavenderhatch_core::{ConfigSnapshot, Incarnation, NodeId, Timestamp};
+use lavenderhatch_decide::message::{Claim, ClaimVerdict, OutcomeRecord};
+use lavenderhatch_decide::orders::{
+    Begin, ExecutionTable, OwnerCounts, OwnerView, RangeId, RangeOwner, RangeOwners,
+};
+use lavenderhatch_platform::Platform;
+
+use super::audit::AuditSender;
+use super::handle::ControllerHandle;
+use super::order_io::{self, IoDone, IoJob};
+use crate::peer::{
+    BeginOrder, BeginReply, FinishOrder, OrderRequest, PeerCommand, PeerLinks, Reply,
+};
+
+/// Time between two looks at the members, and between two publications of the section.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a daemon must see itself as the owner of a range before it reads the log without
+/// being asked. A fresh daemon knows few members and sees itself as the owner of many ranges.
+const OWNERSHIP_DELAY: Duration = Duration::from_secs(3);
+/// Longest wait without anything to do.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// Times after which an outcome is sent again, because the message has no answer. The last one is
+/// longer than it takes to notice that an owner has failed.
+const RESEND_DELAYS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(6)];
+/// Requests that are taken in before the ranges are looked at.
+const TAKE_AT_ONCE: usize = 256;
+
+/// What the controller is connected to.
+#[derive(Debug)]
+pub struct OrderController<P> {
+    /// This daemon.
+    pub own: NodeId,
+    /// Start of this daemon.
+    pub incarnation: Incarnation,
+    /// The platform, which holds the logs of the claim ranges.
+    pub platform: P,
+    /// The configuration in force.
+    pub config: SectionReader<Option<ConfigSnapshot>>,
+    /// Known members.
+    pub members: SectionReader<Members>,
+    /// The section that this controller owns.
+    pub claims: SectionWriter<ClaimsView>,
+    /// Requests of peers and of the request path.
+    pub requests: Receiver<OrderRequest>,
+    /// Number of keys that this daemon has issued.
+    pub issued: Arc<AtomicU64>,
+    /// Links to peers.
+    pub links: PeerLinks,
+    /// Where take-overs are reported.
+    pub audit: AuditSender,
+}
+
+impl<P: Platform + Clone> OrderController<P> {
+    /// Starts the controller and the threads that write to the platform.
+    pub fn spawn(self) -> Result<ControllerHandle> {
+        let (jobs, done) = order_io::spawn(&self.platform)?;
+        ControllerHandle::spawn("order", move |stop| {
+            Running::new(self, jobs).run(&stop, &done);
+        })
+    }
+}
+
+/// Who waits for a verdict.
+#[derive(Debug)]
+enum Waiter {
+    Peer(Reply<ClaimVerdict>),
+    Path(Sender<BeginReply>),
+}
+
+impl Waiter {
+    fn give(self, verdict: ClaimVerdict) {
+        match self {
+            Waiter::Peer(reply) => reply.send(verdict),
+            // A receiver that has gone away has given the attempt up.
+            Waiter::Path(reply) => drop(reply.try_send(BeginReply::Verdict(verdict))),
+        }
+    }
+}
+
+/// The controller's own state.
+struct Running<P> {
+    cx: OrderController<P>,
+    table: ExecutionTable,
+    members: Arc<Members>,
+    owners: RangeOwners,
+    owned_since: BTreeMap<RangeId, Timestamp>,
+    ranges: BTreeMap<RangeId, RangeOwner<Waiter>>,
+    next_batch: u64,
+    /// One queue for each delay, oldest first.
+    resends: [VecDeque<(Timestamp, OutcomeRecord)>; RESEND_DELAYS.len()],
+    jobs: Sender<IoJob>,
+    /// Counts of ranges that were left to another owner.
+    past: OwnerCounts,
+}
+
+impl<P> Running<P> {
+    fn new(cx: OrderController<P>, jobs: Sender<IoJob>) -> Self {
+        Self {
+            table: ExecutionTable::new(cx.own.clone(), cx.incarnation),
+            members: cx.members.load_full(),
+            owners: RangeOwners::default(),
+            owned_since: BTreeMap::new(),
+            ranges: BTreeMap::new(),
+            next_batch: 0,
+            resends: Default::default(),
+            jobs,
+            past: OwnerCounts::default(),
+            cx,
+        }
+    }
+
+    fn run(mut self, stop: &Receiver<()>, done: &Receiver<IoDone>) {
+        let ticks = tick(HOUSEKEEPING_INTERVAL);
+        self.keep_house();
+        loop {
+            let wake = after(self.wait());
+            select! {
+                recv(stop) -> _ => return,
+                recv(self.cx.requests) -> req => match req {
+                    Ok(req) => self.take(req),
+                    Err(_) => return,
+                },
+                recv(done) -> end => match end {
+                    Ok(end) => self.end_exchange(end),
+                    Err(_) => return,
+                },
+                recv(ticks) -> _ => self.keep_house(),
+                recv(wake) -> _ => {}
+            }
+            for _ in 1..TAKE_AT_ONCE {
+                let Ok(req) = self.cx.requests.try_recv() else {
+                    break;
+                };
+                self.take(req);
+            }
+            self.advance();
+        }
+    }
+
+    /// Time until a range may have something to do.
+    fn wait(&self) -> Duration {
+        let now = Timestamp::from_system_clock();
+        let wakes = self.ranges.values().filter_map(RangeOwner::wake_at);
+        wakes
+            .min()
+            .map_or(LONGEST_WAIT, |at| at.since(now).min(LONGEST_WAIT))
+    }
+
+    fn take(&mut self, req: OrderRequest) {
+        match req {
+            OrderRequest::Claim { claim, reply } => self.claim(claim, Waiter::Peer(reply)),
+            OrderRequest::Outcome(record) => self.record(&record),
+            OrderRequest::Begin(begin) => self.begin(begin),
+            OrderRequest::Finish(FinishOrder { key, attempt, end }) => {
+                if let Some(record) = self.table.finish(key, attempt, end) {
+                    self.report(record);
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, begin: BeginOrder) {
+        let BeginOrder {
+            key,
+            request,
+            form,
+            attempt,
+            reply,
+        } = begin;
+        let issued = self.cx.issued.load(Ordering::Relaxed);
+        let answer = match self.table.begin(key, request, form, attempt, issued) {
+            Begin::Run => BeginReply::Run,
+            Begin::Answer(answer) => BeginReply::Answer(answer),
+            Begin::Claim => {
+                let claim = self.table.claim(key, request, attempt);
+                let owners = self.owner_addrs(RangeId::of(&key));
+                if owners.is_empty() {
+                    return self.claim(claim, Waiter::Path(reply));
+                }
+                BeginReply::Ask { claim, owners }
+            }
+        };
+        let _ = reply.try_send(answer);
+    }
+
+    /// Addresses of the owner of a range and of those that follow it, up to this daemon.
+    fn owner_addrs(&self, range: RangeId) -> Vec<SocketAddr> {
+        let candidates = self.owners.candidates(range).iter();
+        let others = candidates.take_while(|id| **id != self.cx.own);
+        let records = others.filter_map(|id| self.members.get(id.as_str()));
+        records.map(|record| record.peer_addr).collect()
+    }
+
+    fn claim(&mut self, claim: Claim, waiter: Waiter) {
+        let range = RangeId::of(&claim.key_hash);
+        let members = Arc::clone(&self.members);
+        let view = self.view(&members);
+        self.range(range).claim(claim, waiter, &view);
+    }
+
+    fn record(&mut self, record: &OutcomeRecord) {
+        let range = RangeId::of(&record.key_hash);
+        let members = Arc::clone(&self.members);
+        let view = self.view(&members);
+        // A range that is not held here may hold the claim all the same, so its log is read.
+        self.range(range).record(record, &view);
+    }
+
+    fn range(&mut self, range: RangeId) -> &mut RangeOwner<Waiter> {
+        let Self {
+            ranges,
+            cx,
+            next_batch,
+            ..
+        } = self;
+        ranges.entry(range).or_insert_with(|| {
+            // Batches of a range that is opened again must not repeat earlier numbers.
+            *next_batch += 1;
+            RangeOwner::open(cx.own.clone(), cx.incarnation, *next_batch << 32)
+        })
+    }
+
+    fn view<'m>(&self, members: &'m Members) -> OwnerView<'m> {
+        let config = self.cx.config.load();
+        let hours = config.as_ref().as_ref().map_or_else(
+            || Limits::default().claim_retention_h,
+            |config| config.mesh.limits().claim_retention_h,
+        );
+        OwnerView {
+            now: Timestamp::from_system_clock(),
+            retention: Duration::from_secs(u64::from(hours) * 3600),
+            members,
+        }
+    }
+
+    /// Reports an outcome to the owner of its range, now and again later.
+    fn report(&mut self, record: OutcomeRecord) {
+        let now = Timestamp::from_system_clock();
+        self.deliver(&record);
+        for (queue, delay) in self.resends.iter_mut().zip(RESEND_DELAYS) {
+            queue.push_back((now + delay, record.clone()));
+        }
+    }
+
+    fn deliver(&mut self, record: &OutcomeRecord) {
+        match self.owner_addrs(RangeId::of(&record.key_hash)).first() {
+            None => self.record(record),
+            Some(addr) => {
+                let record = record.clone();
+                self.cx.links.send(*addr, PeerCommand::Outcome { record });
+            }
+        }
+    }
+
+    fn resend(&mut self, now: Timestamp) {
+        for at in 0..self.resends.len() {
+            while let Some((due, _)) = self.resends[at].front() {
+                if *due > now {
+                    break;
+                }
+                if let Some((_, record)) = self.resends[at].pop_front() {
+                    self.deliver(&record);
+                }
+            }
+        }
+    }
+
+    fn end_exchange(&mut self, end: IoDone) {
+        let members = Arc::clone(&self.members);
+        let view = self.view(&members);
+        match end {
+            IoDone::Loaded(range, image) => self.range(range).loaded(image, &view),
+            IoDone::Committed(range, result) => self.range(range).committed(result, &view),
+        }
+    }
+
+    /// Starts the exchanges that are due and gives the verdicts.
+    fn advance(&mut self) {
+        let members = Arc::clone(&self.members);
+        let view = self.view(&members);
+        for (range, owner) in &mut self.ranges {
+            if let Some(step) = owner.next_step(&view) {
+                let range = *range;
+                // The threads end only after this controller.
+                let _ = self.jobs.send(IoJob { range, step });
+            }
+            for (waiter, verdict) in owner.take_verdicts() {
+                waiter.give(verdict);
+            }
+        }
+    }
+
+    fn keep_house(&mut self) {
+        let now = Timestamp::from_system_clock();
+        let members = self.cx.members.load_full();
+        if self.owners == RangeOwners::default() || !Arc::ptr_eq(&members, &self.members) {
+            self.owners = RangeOwners::of(&members);
+            self.members = members;
+        }
+        self.update_owned(now);
+        self.resend(now);
+        self.publish();
+    }
+
+    fn update_owned(&mut self, now: Timestamp) {
+        for range in RangeId::all() {
+            if !self.owners.is_owner(range, &self.cx.own) {
+                self.owned_since.remove(&range);
+                continue;
+            }
+            let since = *self.owned_since.entry(range).or_insert(now);
+            let is_settled = self.members.is_joined && now.since(since) >= OWNERSHIP_DELAY;
+            if is_settled && !self.ranges.contains_key(&range) {
+                self.range(range);
+                self.report_take_over(range, now);
+            }
+        }
+        let Self {
+            ranges,
+            owned_since,
+            past,
+            ..
+        } = self;
+        // State that is kept without the ownership would grow outdated.
+        ranges.retain(|range, owner| {
+            let is_kept = owned_since.contains_key(range) || !owner.is_idle();
+            if !is_kept {
+                add(past, owner.counts());
+            }
+            is_kept
+        });
+    }
+
+    fn report_take_over(&self, range: RangeId, now: Timestamp) {
+        self.cx.audit.send(AuditEvent {
+            at: now,
+            actor: self.cx.own.to_string(),
+            action: AuditAction::RangeTakenOver,
+            object: format!("claims/{range}"),
+            from: None,
+            to: None,
+            reason: "first of the live members by rendezvous hash".to_owned(),
+        });
+    }
+
+    fn publish(&self) {
+        let mut counts = self.past;
+        let mut pending = 0;
+        for owner in self.ranges.values() {
+            add(&mut counts, owner.counts());
+            pending += owner.pending();
+        }
+        let owned = self
+            .ranges
+            .iter()
+            .filter(|(range, owner)| owner.is_current() && self.owned_since.contains_key(range));
+        let view = ClaimsView {
+            owned_ranges: owned.map(|(range, _)| range.number()).collect(),
+            pending: pending as u32,
+            granted: counts.granted,
+            refused: counts.refused,
+            conflicts: counts.conflicts,
+        };
+        if **self.cx.claims.load() != view {
+            self.cx.claims.publish(view);
+        }
+    }
+}
+
+fn add(sum: &mut OwnerCounts, more: OwnerCounts) {
+    sum.granted += more.granted;
+    sum.refused += more.refused;
+    sum.conflicts += more.conflicts;
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/order_io.rs
@@ -0,0 +1,178 @@
+//! Exchanges of the order controller with the platform, on threads of their own.
+
+use std::thread;
+
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use eyre::Result;
+use lavenderhatch_decide::orders::{
+    Commit, CommitResult, Head, RangeId, RangeImage, RangeStep, Segment,
+};
+use lavenderhatch_platform::{Expected, Platform, PlatformError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tracing::{debug, warn};
+
+/// Threads that wait for the platform. Each range has at most one exchange under way.
+const IO_THREADS: usize = 4;
+/// Reads of a log of which a segment was removed between the head and the segment.
+const MAX_READS: usize = 3;
+
+/// An exchange to be made.
+#[derive(Debug)]
+pub(super) struct IoJob {
+    pub(super) range: RangeId,
+    pub(super) step: RangeStep,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub(super) enum IoDone {
+    Loaded(RangeId, Option<RangeImage>),
+    Committed(RangeId, CommitResult),
+}
+
+/// Starts the threads. They end when the sender of jobs is dropped.
+pub(super) fn spawn<P: Platform + Clone>(
+    platform: &P,
+) -> Result<(Sender<IoJob>, Receiver<IoDone>)> {
+    // Unbounded, so that the controller never waits; there is at most one job a range.
+    let (jobs_tx, jobs) = unbounded();
+    let (done_tx, done) = unbounded();
+    for n in 0..IO_THREADS {
+        let (platform, jobs, done) = (
+            platform.clone(),
+            Receiver::clone(&jobs),
+            Sender::clone(&done_tx),
+        );
+        thread::Builder::new()
+            .name(format!("order-io-{n}"))
+            .spawn(move || run(&platform, &jobs, &done))?;
+    }
+    Ok((jobs_tx, done))
+}
+
+fn run<P: Platform>(platform: &P, jobs: &Receiver<IoJob>, done: &Sender<IoDone>) {
+    for IoJob { range, step } in jobs {
+        let end = match step {
+            RangeStep::Load { held } => IoDone::Loaded(range, load(platform, range, &held)),
+            RangeStep::Commit(commit) => IoDone::Committed(range, write(platform, range, &commit)),
+        };
+        if done.send(end).is_err() {
+            return;
+        }
+    }
+}
+
+fn load<P: Platform>(platform: &P, range: RangeId, held: &[String]) -> Option<RangeImage> {
+    for _ in 0..MAX_READS {
+        match read_image(platform, range, held) {
+            Ok(Some(image)) => return Some(image),
+            Ok(None) => debug!("order: range {range}: a segment was removed while it was read"),
+            Err(err) => {
+                warn!("order: range {range}: cannot read the claims: {err}");
+                return None;
+            }
+        }
+    }
+    None
+}
+
+/// Reads the log; `None` if a segment that the head names is gone.
+fn read_image<P: Platform>(
+    platform: &P,
+    range: RangeId,
+    held: &[String],
+) -> Result<Option<RangeImage>, PlatformError> {
+    let Some(object) = platform.get(&range.head_name())? else {
+        return Ok(Some(RangeImage::default()));
+    };
+    let head: Head = parse(&object.value)?;
+    let mut segments = Vec::new();
+    for segment in &head.segments {
+        if held.contains(&segment.name) {
+            continue;
+        }
+        let Some(object) = platform.get(&range.segment_name(&segment.name))? else {
+            return Ok(None);
+        };
+        segments.push(parse::<Segment>(&object.value)?);
+    }
+    Ok(Some(RangeImage {
+        version: Some(object.version),
+        head,
+        segments,
+    }))
+}
+
+fn write<P: Platform>(platform: &P, range: RangeId, commit: &Commit) -> CommitResult {
+    match try_write(platform, range, commit) {
+        Ok(version) => {
+            if commit.archive.is_some() || !commit.dropped.is_empty() {
+                clean(platform, range, &commit.head, version);
+            }
+            CommitResult::Written(version)
+        }
+        Err(result) => result,
+    }
+}
+
+fn try_write<P: Platform>(
+    platform: &P,
+    range: RangeId,
+    commit: &Commit,
+) -> Result<u64, CommitResult> {
+    if let Some(archive) = &commit.archive {
+        let name = range.segment_name(&archive.name);
+        match platform.put(&name, &encode(&archive.segment)?, Expected::Absent) {
+            Ok(_) => {}
+            Err(PlatformError::RateLimited) => return Err(CommitResult::RateLimited),
+            Err(err) => {
+                // The head was not written, whatever became of the segment.
+                warn!("order: range {range}: cannot write a segment: {err}");
+                return Err(CommitResult::Unavailable);
+            }
+        }
+    }
+    let expected = commit.expected.map_or(Expected::Absent, Expected::Version);
+    let written = platform.put(&range.head_name(), &encode(&commit.head)?, expected);
+    written.map_err(|err| {
+        debug!("order: range {range}: cannot write the claims: {err}");
+        match err {
+            PlatformError::Conflict { .. } => CommitResult::Conflict,
+            PlatformError::RateLimited => CommitResult::RateLimited,
+            err if err.may_have_taken_effect() => CommitResult::AnswerLost,
+            _ => CommitResult::Unavailable,
+        }
+    })
+}
+
+/// Removes segments that no head can name any more: those that the head of `version` does not name
+/// and that were written before it. A head that names one of them could only replace an older one.
+fn clean<P: Platform>(platform: &P, range: RangeId, head: &Head, version: u64) {
+    let names: Vec<String> = head
+        .segments
+        .iter()
+        .map(|segment| range.segment_name(&segment.name))
+        .chain([range.head_name()])
+        .collect();
+    let listed = platform.list(&range.segment_name("")).unwrap_or_default();
+    let garbage = listed
+        .iter()
+        .filter(|meta| meta.version < version && !names.contains(&meta.name));
+    for meta in garbage {
+        if let Err(err) = platform.delete(&meta.name, meta.version) {
+            debug!("order: cannot remove {}: {err}", meta.name);
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(value: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(value).map_err(|err| PlatformError::BadAnswer(err.to_string()))
+}
+
+fn encode(value: &impl Serialize) -> Result<Vec<u8>, CommitResult> {
+    serde_json::to_vec(value).map_err(|err| {
+        warn!("order: cannot encode the claims: {err}");
+        CommitResult::Unavailable
+    })
+}
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -15,10 +15,10 @@
 use crate::admin::AdminPort;
 use crate::controller::{
     AuditController, ControllerHandle, DistributionController, EndpointController,
-    MembershipController, PlatformReader,
+    MembershipController, OrderController, PlatformReader,
 };
 use crate::peer::{Inboxes, PeerLinks, PeerPort};
-use crate::request::{CallerPort, CarryWorkers, HttpBackend, RequestPath};
+use crate::request::{CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath};
 
 /// Requests of peers that wait for a controller. More are refused.
 const CONTROL_QUEUE: usize = 1024;
@@ -44,7 +44,7 @@
         let own = own_record(settings, Timestamp::from_system_clock());
         let (heartbeats_tx, heartbeats) = bounded(CONTROL_QUEUE);
         let (distribution_tx, requests) = bounded(CONTROL_QUEUE);
-        let (orders, _) = bounded(CONTROL_QUEUE);
+        let (orders, order_requests) = bounded(CONTROL_QUEUE);
         let (carry, jobs) = bounded(CARRY_QUEUE);
         let inboxes = Inboxes {
             heartbeats: heartbeats_tx,
@@ -54,6 +54,7 @@
         };
         PeerPort::bind(settings.peer_addr, settings.peer_threads, &inboxes)?;
         let links = PeerLinks::spawn(settings.peer_threads)?;
+        let orders = OrderClient::new(&own, inboxes.orders.clone(), links.clone());
         let (audit, events) = AuditController::channel();
         let (news_tx, news) = crate::controller::news_channel();
         let controllers = vec![
@@ -79,13 +80,26 @@
                 requests,
                 news,
                 links: links.clone(),
+                audit: audit.clone(),
+            }
+            .spawn()?,
+            OrderController {
+                own: settings.node.clone(),
+                incarnation: orders.incarnation(),
+                platform: platform.clone(),
+                config: board.config.clone(),
+                members: board.members.clone(),
+                claims: writers.claims,
+                requests: order_requests,
+                issued: orders.issued(),
+                links: links.clone(),
                 audit,
             }
             .spawn()?,
             PlatformReader::spawn(platform, news_tx)?,
         ];
         let backend = HttpBackend::open(settings.backend_addr);
-        let path = RequestPath::new(settings.node.clone(), board.clone(), backend, links);
+        let path = RequestPath::new(settings.node.clone(), board.clone(), backend, links, orders);
         let path = Arc::new(path);
         CarryWorkers::spawn(CARRY_THREADS, &jobs, &path)?;
         let callers = CallerPort::bind(
--- a/crates/lavenderhatch-daemon/src/peer.rs
+++ b/crates/lavenderhatch-daemon/src/peer.rs
@@ -13,6 +13,9 @@
 
 pub use command::{PeerCommand, PeerReply};
 pub use error::PeerError;
-pub use inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
+pub use inbox::{
+    BeginOrder, BeginReply, CarryJob, DistributionRequest, FinishOrder, HeartbeatRequest, Inboxes,
+    OrderRequest, Reply,
+};
 pub use links::PeerLinks;
 pub use port::PeerPort;
--- a/crates/lavenderhatch-daemon/src/peer/inbox.rs
+++ b/crates/lavenderhatch-daemon/src/peer/inbox.rs
@@ -1,11 +1,14 @@
 //! Requests from other daemons on their way to the threads that decide.
 
+use std::net::SocketAddr;
+
 use crossbeam::channel::Sender;
 use lavenderhatch_core::call::{CallAnswer, StoredCall};
-use lavenderhatch_core::{Digest, Version};
+use lavenderhatch_core::{Digest, Error, Version};
 use lavenderhatch_decide::message::{
     Claim, ClaimVerdict, Hello, OutcomeRecord, Update, UpdateRequest,
 };
+use lavenderhatch_decide::orders::{KeyForm, OrderEnd};
 use tokio::sync::oneshot;
 
 /// Where the answer to a request of a peer goes.
@@ -70,6 +73,54 @@
     },
     /// A peer reports what became of a granted claim.
     Outcome(OutcomeRecord),
+    /// This daemon's request path has an order to run.
+    Begin(BeginOrder),
+    /// This daemon's request path is done with an order.
+    Finish(FinishOrder),
+}
+
+/// An order that this daemon is to run.
+#[derive(Debug)]
+pub struct BeginOrder {
+    /// Digest of the idempotency key.
+    pub key: Digest,
+    /// Digest of method, path and body.
+    pub request: Digest,
+    /// Who made the key.
+    pub form: KeyForm,
+    /// Number of the attempt. Invariant: used once in this incarnation.
+    pub attempt: u64,
+    /// Where the answer goes.
+    pub reply: Sender<BeginReply>,
+}
+
+/// What the request path does with an order.
+#[derive(Debug)]
+pub enum BeginReply {
+    /// Run it.
+    Run,
+    /// Ask for the right to run it, at the first of these daemons that can be reached.
+    Ask {
+        /// What is asked.
+        claim: Claim,
+        /// The owner of the key's range, and those that follow it.
+        owners: Vec<SocketAddr>,
+    },
+    /// Act on this verdict.
+    Verdict(ClaimVerdict),
+    /// Give this answer.
+    Answer(Box<Result<CallAnswer, Error>>),
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct FinishOrder {
+    /// Digest of the idempotency key.
+    pub key: Digest,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// How it ended.
+    pub end: OrderEnd,
 }
 
 /// A call that a peer has handed over.
--- a/crates/lavenderhatch-daemon/src/peer/links.rs
+++ b/crates/lavenderhatch-daemon/src/peer/links.rs
@@ -8,9 +8,10 @@
 
 use capnp::capability::{Promise, Response};
 use capnp::traits::Owned;
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use eyre::Result;
 use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use lavenderhatch_decide::message::{Claim, ClaimVerdict};
 use lavenderhatch_wire::{
     WireError, read_answer, read_hello, read_update, read_verdict, write_call, write_claim,
     write_hello, write_outcome,
@@ -84,10 +85,34 @@
                 done,
             },
         );
-        match rx.recv() {
-            Ok(reply) => reply.result,
-            Err(_) => Err(PeerError::NoAnswer("the link has ended".to_owned())),
-        }
+        wait(&rx)
+    }
+
+    /// Asks for the right to run an order and waits for the verdict.
+    pub fn claim(
+        &self,
+        addr: SocketAddr,
+        claim: &Claim,
+        time_left: Duration,
+    ) -> Result<ClaimVerdict, PeerError> {
+        let (done, rx) = bounded(1);
+        let claim = claim.clone();
+        self.send(
+            addr,
+            PeerCommand::Claim {
+                claim,
+                timeout: time_left,
+                done,
+            },
+        );
+        wait(&rx)
+    }
+}
+
+fn wait<T>(rx: &Receiver<PeerReply<T>>) -> Result<T, PeerError> {
+    match rx.recv() {
+        Ok(reply) => reply.result,
+        Err(_) => Err(PeerError::NoAnswer("the link has ended".to_owned())),
     }
 }
 
--- a/crates/lavenderhatch-daemon/src/request.rs
+++ b/crates/lavenderhatch-daemon/src/request.rs
@@ -7,9 +7,11 @@
 mod backend;
 mod caller_port;
 mod carry;
+mod order;
 mod path;
 
 pub use backend::{Backend, HttpBackend};
 pub use caller_port::CallerPort;
 pub use carry::CarryWorkers;
+pub use order::OrderClient;
 pub use path::{IncomingRequest, PeerCaller, RequestPath};
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/order.rs
@@ -0,0 +1,366 @@
+//! Orders on the path of a call.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Sender, bounded};
+use lavenderhatch_core::call::{CallAnswer, Header, StoredCall};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{Digest, Error, ErrorKind, Incarnation, MemberRecord, NodeId};
+use lavenderhatch_decide::message::{Claim, ClaimVerdict};
+use lavenderhatch_decide::orders::{
+    IssuedKey, KeyForm, OrderEnd, answer_to, key_hash, request_digest,
+};
+
+use super::backend::Backend;
+use super::path::{IncomingRequest, PeerCaller, RequestPath, result_of};
+use crate::peer::{BeginOrder, BeginReply, FinishOrder, OrderRequest, PeerError, PeerLinks};
+
+/// Where callers ask for a key.
+const KEYS_PATH: &str = "/.well-known/lavenderhatch/keys";
+
+/// The request path's end of the order controller.
+#[derive(Debug)]
+pub struct OrderClient {
+    node: NodeId,
+    incarnation: Incarnation,
+    controller: Sender<OrderRequest>,
+    links: PeerLinks,
+    /// Keys issued so far.
+    issued: Arc<AtomicU64>,
+    attempts: AtomicU64,
+}
+
+impl OrderClient {
+    /// The client on the daemon of this record.
+    pub fn new(own: &MemberRecord, controller: Sender<OrderRequest>, links: PeerLinks) -> Self {
+        Self {
+            node: own.id.clone(),
+            incarnation: own.incarnation,
+            controller,
+            links,
+            issued: Arc::default(),
+            attempts: AtomicU64::new(1),
+        }
+    }
+
+    /// Start of this daemon.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Counter of the keys issued so far.
+    pub fn issued(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.issued)
+    }
+
+    fn issue(&self) -> IssuedKey {
+        IssuedKey {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            seq: self.issued.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn is_own(&self, key: &IssuedKey) -> bool {
+        key.node == self.node && key.incarnation == self.incarnation
+    }
+
+    /// Asks for the right to run an order. `Err` holds the answer if it must not run.
+    fn begin(
+        &self,
+        key: Digest,
+        request: Digest,
+        form: KeyForm,
+        time_left: Duration,
+    ) -> Result<Permit<'_>, Result<CallAnswer, Error>> {
+        let start = Instant::now();
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let (reply, rx) = bounded(1);
+        let begin = BeginOrder {
+            key,
+            request,
+            form,
+            attempt,
+            reply,
+        };
+        if self
+            .controller
+            .try_send(OrderRequest::Begin(begin))
+            .is_err()
+        {
+            let message = "too many orders wait for their claims";
+            return Err(Err(Error::new(ErrorKind::Overloaded, message)));
+        }
+        let mut permit = Permit {
+            client: self,
+            key,
+            attempt,
+            end: OrderEnd::NotRun,
+        };
+        let verdict = match rx.recv_timeout(time_left) {
+            Ok(BeginReply::Run) => ClaimVerdict::Granted,
+            Ok(BeginReply::Verdict(verdict)) => verdict,
+            Ok(BeginReply::Answer(answer)) => return Err(*answer),
+            Ok(BeginReply::Ask { claim, owners }) => {
+                let time_left = time_left.saturating_sub(start.elapsed());
+                self.ask(&claim, &owners, time_left)?
+            }
+            Err(_) => return Err(Err(unconfirmed("the claim was not confirmed in time"))),
+        };
+        if let Some(answer) = answer_to(&verdict) {
+            if verdict != ClaimVerdict::Unknown {
+                permit.end = OrderEnd::NotClaimed;
+            }
+            return Err(answer);
+        }
+        // From here on the order counts as run unless it is known not to have reached a back end.
+        permit.end = OrderEnd::Unknown;
+        Ok(permit)
+    }
+
+    /// Asks the first owner that can be reached. The next one is asked only if the message was
+    /// certainly not sent; two owners are safe, but each must have the whole time for its write.
+    fn ask(
+        &self,
+        claim: &Claim,
+        owners: &[std::net::SocketAddr],
+        time_left: Duration,
+    ) -> Result<ClaimVerdict, Result<CallAnswer, Error>> {
+        for owner in owners {
+            match self.links.claim(*owner, claim, time_left) {
+                Ok(verdict) => return Ok(verdict),
+                Err(PeerError::NotSent(_)) => {}
+                Err(err) => {
+                    let message = format!("the claim was not confirmed: {err}");
+                    return Err(Err(unconfirmed(&message)));
+                }
+            }
+        }
+        Err(Err(unconfirmed("no owner of the key's range was reached")))
+    }
+}
+
+fn unconfirmed(message: &str) -> Error {
+    Error::new(ErrorKind::OutcomeUnknown, message)
+}
+
+/// The right to run an attempt. Dropping it reports how the attempt ended, also if the thread
+/// panics.
+#[derive(Debug)]
+struct Permit<'c> {
+    client: &'c OrderClient,
+    key: Digest,
+    attempt: u64,
+    end: OrderEnd,
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let end = std::mem::replace(&mut self.end, OrderEnd::Unknown);
+        let finish = FinishOrder {
+            key: self.key,
+            attempt: self.attempt,
+            end,
+        };
+        // Waits while the queue is full: an outcome that is dropped here would leave the key
+        // running for ever. The controller never waits for the request path.
+        let _ = self.client.controller.send(OrderRequest::Finish(finish));
+    }
+}
+
+fn end_of(result: &Result<CallAnswer, Error>) -> OrderEnd {
+    match result {
+        Ok(answer) => OrderEnd::Ran(answer.clone()),
+        Err(err) if err.kind().is_not_run() => OrderEnd::NotRun,
+        Err(_) => OrderEnd::Unknown,
+    }
+}
+
+/// Whether a request asks for a key.
+pub(super) fn is_key_request(req: &IncomingRequest<'_>) -> bool {
+    req.method == "POST" && path_of(req.target) == KEYS_PATH
+}
+
+/// Whether another backend server may run a call that ended in this error.
+pub(super) fn may_run_elsewhere(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NoBackend
+            | ErrorKind::Leaving
+            | ErrorKind::Overloaded
+            | ErrorKind::DeadlineUnmeetable
+            | ErrorKind::NotReady
+    )
+}
+
+fn path_of(target: &str) -> &str {
+    target.split_once('?').map_or(target, |(path, _)| path)
+}
+
+impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
+    /// Runs a call on this backend server; an order with a key runs at most once.
+    pub(super) fn run_once(
+        &self,
+        call: &StoredCall,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
+        if call.method == "POST" && path_of(&call.target) == KEYS_PATH {
+            return self.issue_key(call);
+        }
+        let Some(key) = call.key.as_deref().filter(|_| !call.is_idempotent) else {
+            return self.run_here(call, time_left);
+        };
+        let form = self.key_form(key, call)?;
+        let request = request_digest(&call.method, &call.target, &call.body);
+        let start = Instant::now();
+        let begun = self.orders.begin(key_hash(key), request, form, time_left);
+        let mut permit = match begun {
+            Ok(permit) => permit,
+            Err(answer) => return answer,
+        };
+        let time_left = time_left.saturating_sub(start.elapsed());
+        if time_left.is_zero() {
+            permit.end = OrderEnd::NotRun;
+            let message = "the deadline passed before the order was handed to the back end";
+            return Err(Error::new(ErrorKind::DeadlineUnmeetable, message));
+        }
+        let result = self.run_here(call, time_left);
+        permit.end = end_of(&result);
+        result
+    }
+
+    fn key_form(&self, key: &str, call: &StoredCall) -> Result<KeyForm, Error> {
+        let Some(issued) = parse_key(key)? else {
+            return Ok(KeyForm::Chosen);
+        };
+        if !self.orders.is_own(&issued) {
+            return Err(gone(&issued));
+        }
+        self.check_service(&self.own, call)?;
+        Ok(KeyForm::Issued(issued.seq))
+    }
+
+    /// An issued key works for the service of the daemon that issued it, because no other back end
+    /// may run the order.
+    fn check_service(&self, node: &NodeId, call: &StoredCall) -> Result<(), Error> {
+        let members = self.board.members.load();
+        let record = members.get(node.as_str());
+        match record.is_some_and(|record| record.service.as_str() == call.service) {
+            true => Ok(()),
+            false => Err(Error::new(
+                ErrorKind::BadRequest,
+                format!("the key was not issued for service {}", call.service),
+            )),
+        }
+    }
+
+    /// The issued key of an order, if it has one.
+    pub(super) fn issued_key(&self, call: &StoredCall) -> Result<Option<IssuedKey>, Error> {
+        match call.key.as_deref() {
+            Some(key) if !call.is_idempotent => parse_key(key),
+            _ => Ok(None),
+        }
+    }
+
+    /// Hands an order to the one incarnation that may run it.
+    pub(super) fn route_issued(
+        &self,
+        key: &IssuedKey,
+        call: &Arc<StoredCall>,
+    ) -> Result<CallAnswer, Error> {
+        let time_left = Duration::from_millis(call.time_left_ms);
+        if self.orders.is_own(key) {
+            return self.run_once(call, time_left);
+        }
+        let members = self.board.members.load();
+        let record = members.get(key.node.as_str());
+        let Some(record) = record.filter(|record| record.incarnation == key.incarnation) else {
+            return Err(gone(key));
+        };
+        self.check_service(&key.node, call)?;
+        match self.peers.carry(record.peer_addr, call, time_left) {
+            Ok(answer) => result_of(answer),
+            // An earlier call with this key may have reached that daemon.
+            Err(PeerError::NotSent(_)) => Err(gone(key)),
+            Err(err) => Err(err.into()),
+        }
+    }
+
+    /// A call that asks a backend server of a route's service for a key.
+    pub(super) fn key_call(&self, req: &IncomingRequest<'_>) -> Result<Arc<StoredCall>, Error> {
+        let config = self.board.config.load();
+        let Some(config) = config.as_ref() else {
+            let message = "no configuration is in force yet";
+            return Err(Error::new(ErrorKind::NotReady, message));
+        };
+        let query = req.target.split_once('?').map_or("", |(_, query)| query);
+        let name = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("route="));
+        let Some(name) = name else {
+            let message = "name the route: POST /.well-known/lavenderhatch/keys?route=NAME";
+            return Err(Error::new(ErrorKind::BadRequest, message));
+        };
+        let mut routes = config.mesh.routes().iter();
+        let Some((_, route)) = routes.find(|(known, _)| known.as_str() == name) else {
+            return Err(Error::new(ErrorKind::NoRoute, format!("no route {name}")));
+        };
+        if route.idempotent {
+            let message = format!("route {name} is idempotent and needs no key");
+            return Err(Error::new(ErrorKind::BadRequest, message));
+        }
+        let time_left = req
+            .deadline
+            .map_or(route.timeout(), |left| left.min(route.timeout()));
+        Ok(Arc::new(StoredCall {
+            id: req
+                .call_id
+                .map_or_else(|| self.new_call_id(), str::to_owned),
+            method: req.method.to_owned(),
+            target: req.target.to_owned(),
+            route: name.to_owned(),
+            rank: route.rank.to_string(),
+            service: route.service.to_string(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            key: None,
+            is_idempotent: true,
+            time_left_ms: time_left.as_millis() as u64,
+            depth: req.depth.saturating_add(1),
+        }))
+    }
+
+    fn issue_key(&self, call: &StoredCall) -> Result<CallAnswer, Error> {
+        if self.board.drains.load().is_leaving() {
+            let message = format!("{} is leaving", self.own);
+            return Err(Error::new(ErrorKind::Leaving, message));
+        }
+        self.check_service(&self.own, call)?;
+        Ok(CallAnswer {
+            status: 200,
+            headers: vec![Header {
+                name: "content-type".to_owned(),
+                value: "text/plain".to_owned(),
+            }],
+            body: self.orders.issue().to_string().into_bytes(),
+            outcome: Outcome::Ran,
+            error: None,
+            retry_after_ms: None,
+            is_retry_exhausted: false,
+        })
+    }
+}
+
+fn parse_key(key: &str) -> Result<Option<IssuedKey>, Error> {
+    IssuedKey::parse(key).map_err(|err| Error::new(ErrorKind::BadRequest, err.to_string()))
+}
+
+fn gone(key: &IssuedKey) -> Error {
+    let message = format!(
+        "only the daemon of {} that issued the key knows the outcome, and it cannot be reached",
+        key.node
+    );
+    Error::new(ErrorKind::OutcomeUnknown, message)
+}
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -14,6 +14,7 @@
 use lavenderhatch_decide::routing::choose;
 
 use super::backend::Backend;
+use super::order::{OrderClient, is_key_request, may_run_elsewhere};
 use crate::peer::{PeerError, PeerLinks};
 
 /// Most backend servers that are tried for one call.
@@ -65,21 +66,23 @@
 /// The path of a call on this daemon.
 #[derive(Debug)]
 pub struct RequestPath<B, L> {
-    own: NodeId,
-    board: Blackboard,
+    pub(super) own: NodeId,
+    pub(super) board: Blackboard,
     backend: B,
-    peers: L,
+    pub(super) peers: L,
+    pub(super) orders: OrderClient,
     next_call: AtomicU64,
 }
 
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
     /// The path of calls on the daemon named `own`.
-    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L) -> Self {
+    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L, orders: OrderClient) -> Self {
         Self {
             own,
             board,
             backend,
             peers,
+            orders,
             next_call: AtomicU64::new(1),
         }
     }
@@ -90,13 +93,20 @@
         req: &IncomingRequest<'_>,
         random: &mut impl FnMut() -> u64,
     ) -> CallAnswer {
-        let result = self.store(req).and_then(|call| self.route(&call, random));
+        let result = match is_key_request(req) {
+            true => self.key_call(req),
+            false => self.store(req),
+        };
+        let result = result.and_then(|call| match self.issued_key(&call)? {
+            Some(key) => self.route_issued(&key, &call),
+            None => self.route(&call, random),
+        });
         result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
     }
 
     /// Runs a call that a peer has handed over.
     pub fn run_for_peer(&self, call: &StoredCall) -> CallAnswer {
-        let result = self.run_here(call, Duration::from_millis(call.time_left_ms));
+        let result = self.run_once(call, Duration::from_millis(call.time_left_ms));
         result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
     }
 
@@ -146,7 +156,7 @@
         }))
     }
 
-    fn new_call_id(&self) -> String {
+    pub(super) fn new_call_id(&self) -> String {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         format!("{}-{number:x}", self.own)
     }
@@ -173,7 +183,7 @@
             let time_left = allowed.saturating_sub(start.elapsed());
             match self.attempt(&endpoints[at], call, time_left) {
                 Ok(answer) => return Ok(answer),
-                Err(err) if err.kind().is_not_run() => last = err,
+                Err(err) if may_run_elsewhere(err.kind()) => last = err,
                 Err(err) => return Err(err),
             }
             excluded.push(at);
@@ -190,7 +200,7 @@
         let start = Instant::now();
         endpoint.counters.start();
         let result = match endpoint.node == self.own {
-            true => self.run_here(call, time_left),
+            true => self.run_once(call, time_left),
             false => self.run_there(endpoint.peer_addr, call, time_left),
         };
         endpoint
@@ -199,7 +209,11 @@
         result
     }
 
-    fn run_here(&self, call: &StoredCall, time_left: Duration) -> Result<CallAnswer, Error> {
+    pub(super) fn run_here(
+        &self,
+        call: &StoredCall,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
         if self.board.drains.load().is_leaving() {
             return Err(Error::new(
                 ErrorKind::Leaving,
@@ -215,18 +229,22 @@
         call: &Arc<StoredCall>,
         time_left: Duration,
     ) -> Result<CallAnswer, Error> {
-        let answer = self.peers.carry(addr, call, time_left)?;
-        match answer.error {
-            Some(kind) => {
-                let message = String::from_utf8_lossy(&answer.body);
-                let prefix = format!("{kind}: ");
-                let message = message.trim_end();
-                Err(Error::new(
-                    kind,
-                    message.strip_prefix(&prefix).unwrap_or(message),
-                ))
-            }
-            None => Ok(answer),
+        result_of(self.peers.carry(addr, call, time_left)?)
+    }
+}
+
+/// The result that a peer has made an answer of.
+pub(super) fn result_of(answer: CallAnswer) -> Result<CallAnswer, Error> {
+    match answer.error {
+        Some(kind) => {
+            let message = String::from_utf8_lossy(&answer.body);
+            let prefix = format!("{kind}: ");
+            let message = message.trim_end();
+            Err(Error::new(
+                kind,
+                message.strip_prefix(&prefix).unwrap_or(message),
+            ))
         }
+        None => Ok(answer),
     }
 }
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`acceptance`]: how a set of files becomes the accepted version.
 //! - [`distribution`]: how an accepted version reaches each daemon.
 //! - [`routing`]: which backend server runs a call.
+//! - [`orders`]: how an order runs at most once.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
 pub mod distribution;
 pub mod message;
+pub mod orders;
 pub mod routing;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders.rs
@@ -0,0 +1,33 @@
+//! Orders at most once.
+//!
+//! An order is a request on a route that is not idempotent. Its key decides where it may run:
+//!
+//! - An issued key ([`IssuedKey`]) names the one incarnation of the one daemon that may run it.
+//!   [`ExecutionTable`] is that daemon's memory.
+//! - A key chosen by a caller is claimed in the log of its range before it runs. [`RangeOwner`]
+//!   collects claims and commits them together; [`RangeOwners`] says who does so for each range.
+//!
+//! The owner of a range is a matter of efficiency. Safety rests on two rules: a claim is granted
+//! only after it was seen in the log, and an attempt runs at most once, on a grant that it still
+//! waits for.
+
+mod answer;
+mod claim_table;
+mod execution;
+mod issued_key;
+mod order_key;
+mod owner;
+mod range;
+mod range_log;
+mod started_keys;
+
+pub use answer::{RECORDED_HEADER, answer_to, recorded_answer};
+pub use claim_table::{ClaimState, ClaimTable};
+pub use execution::{Begin, ExecutionTable, OrderEnd};
+pub use issued_key::{ISSUED_PREFIX, IssuedKey, IssuedKeyError};
+pub use order_key::{KeyForm, key_hash, request_digest};
+pub use owner::{
+    COMMIT_INTERVAL, Commit, CommitResult, OwnerCounts, OwnerView, RangeOwner, RangeStep,
+};
+pub use range::{RANGES, RangeId, RangeOwners};
+pub use range_log::{Archive, BatchId, Head, LogRecord, RangeImage, Segment, SegmentRef};
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders/answer.rs
@@ -0,0 +1,57 @@
+//! What a caller is told about an order that this call did not run.
+
+use lavenderhatch_core::call::{CallAnswer, Header};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{Error, ErrorKind};
+
+use crate::message::{ClaimVerdict, RecordedOutcome};
+
+/// Name of the header that marks a recorded answer. Its value is `whole`, or `status` if the body
+/// is not kept any more.
+pub const RECORDED_HEADER: &str = "lavenderhatch-recorded";
+
+/// The answer to a call whose claim got this verdict; `None` if the call may run.
+pub fn answer_to(verdict: &ClaimVerdict) -> Option<Result<CallAnswer, Error>> {
+    let refusal = |kind, message: &str| Some(Err(Error::new(kind, message)));
+    match verdict {
+        ClaimVerdict::Granted => None,
+        ClaimVerdict::Recorded(outcome) => Some(Ok(recorded_answer(outcome))),
+        ClaimVerdict::InFlight => refusal(
+            ErrorKind::KeyInFlight,
+            "an order with this key is running elsewhere",
+        ),
+        ClaimVerdict::Conflict => refusal(
+            ErrorKind::KeyConflict,
+            "this key was used with another request",
+        ),
+        ClaimVerdict::Unavailable => refusal(
+            ErrorKind::ClaimUnavailable,
+            "the claim could not be written",
+        ),
+        ClaimVerdict::Unknown => refusal(
+            ErrorKind::OutcomeUnknown,
+            "it cannot be told whether an order with this key ran",
+        ),
+    }
+}
+
+/// The answer of an order whose status is known and whose body is not kept.
+pub fn recorded_answer(outcome: &RecordedOutcome) -> CallAnswer {
+    CallAnswer {
+        status: outcome.status,
+        headers: vec![recorded_header("status")],
+        body: Vec::new(),
+        outcome: Outcome::Ran,
+        error: None,
+        retry_after_ms: None,
+        is_retry_exhausted: false,
+    }
+}
+
+/// Marks a recorded answer.
+pub(super) fn recorded_header(value: &str) -> Header {
+    Header {
+        name: RECORDED_HEADER.to_owned(),
+        value: value.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders/range.rs
@@ -0,0 +1,113 @@
+//! Claim ranges and their owners.
+
+use std::fmt;
+
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{Digest, MemberRecord, NodeId};
+
+/// Claim ranges of the whole fleet. At 4 commits a second each they write at most 256 times a
+/// second, of 300 that the platform allows.
+pub const RANGES: u16 = 64;
+
+/// Owners that are known for a range: the owner, and those that are asked if it cannot be reached.
+const CANDIDATES: usize = 3;
+
+/// Number of a claim range. Invariant: less than [`RANGES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RangeId(u16);
+
+impl RangeId {
+    /// The range of a key.
+    pub fn of(key_hash: &Digest) -> Self {
+        let [a, b, ..] = *key_hash.as_bytes();
+        Self(u16::from_le_bytes([a, b]) % RANGES)
+    }
+
+    /// All ranges.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..RANGES).map(Self)
+    }
+
+    /// The number.
+    pub fn number(self) -> u16 {
+        self.0
+    }
+
+    /// Name of the object that holds the open end of the range's log.
+    pub fn head_name(self) -> String {
+        format!("claims/{}/head", self.0)
+    }
+
+    /// Name of the object that holds a sealed segment.
+    pub fn segment_name(self, segment: &str) -> String {
+        format!("claims/{}/{segment}", self.0)
+    }
+}
+
+impl fmt::Display for RangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The owner of each range among the live members, by rendezvous hash, and the members that follow
+/// it. Two daemons with different views may name different owners; that costs conflicts only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RangeOwners {
+    /// By number of the range, best first.
+    by_range: Vec<Vec<NodeId>>,
+}
+
+impl RangeOwners {
+    /// Ranks the live members for each range. Takes time in proportion to members and ranges.
+    pub fn of(members: &Members) -> Self {
+        let live: Vec<(&MemberRecord, u64)> = members
+            .live()
+            .map(|record| (record, hash_name(record.id.as_str())))
+            .collect();
+        let by_range = RangeId::all().map(|range| best(&live, range)).collect();
+        Self { by_range }
+    }
+
+    /// The owner of a range and those that follow it; empty if no member is known.
+    pub fn candidates(&self, range: RangeId) -> &[NodeId] {
+        self.by_range
+            .get(usize::from(range.0))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether `node` is the owner.
+    pub fn is_owner(&self, range: RangeId, node: &NodeId) -> bool {
+        self.candidates(range).first() == Some(node)
+    }
+}
+
+fn best(live: &[(&MemberRecord, u64)], range: RangeId) -> Vec<NodeId> {
+    let salt = mix(u64::from(range.0) + 1);
+    let mut top: Vec<(u64, &NodeId)> = Vec::with_capacity(CANDIDATES + 1);
+    for (record, hash) in live {
+        let weight = mix(hash ^ salt);
+        let at = top.partition_point(|(present, id)| (*present, *id) < (weight, &record.id));
+        if at < CANDIDATES {
+            top.insert(at, (weight, &record.id));
+            top.truncate(CANDIDATES);
+        }
+    }
+    top.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// FNV-1a of a name. Each daemon must come to the same value, so no seeded hash is used.
+fn hash_name(name: &str) -> u64 {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// Spreads the bits of a number.
+///
+/// Source: Steele, Lea, Flood, "Fast Splittable Pseudorandom Number Generators", 2014.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
