Check orders over seeds with faults at any point

Change: a driver delivers messages late, twice or not at all, kills and pauses daemons, loses answers of the platform, and counts runs of each key. Two faults are seeded into a copy of the rule to show that the checker finds them.

--- a/crates/lavenderhatch-decide/src/orders.rs
+++ b/crates/lavenderhatch-decide/src/orders.rs
@@ -30,4 +30,4 @@
     COMMIT_INTERVAL, Commit, CommitResult, OwnerCounts, OwnerView, RangeOwner, RangeStep,
 };
 pub use range::{RANGES, RangeId, RangeOwners};
-pub use range_log::{Archive, BatchId, Head, LogRecord, RangeImage, Segment, SegmentRef};
+pub use range_log::{Archive, Attempt, BatchId, Head, LogRecord, RangeImage, Segment, SegmentRef};
--- a/crates/lavenderhatch-decide/src/orders/claim_table.rs
+++ b/crates/lavenderhatch-decide/src/orders/claim_table.rs
@@ -100,6 +100,16 @@
         claim.is_some_and(|claim| claim.by == *by && claim.outcome.is_none())
     }
 
+    /// Whether a record ends a claim that is open.
+    pub(super) fn is_ended_by(&self, record: &LogRecord) -> bool {
+        match record {
+            LogRecord::Ran { key, by, .. } | LogRecord::Released { key, by } => {
+                self.is_open(key, by)
+            }
+            LogRecord::Claim { .. } => false,
+        }
+    }
+
     /// Whether this attempt has claimed a key and its outcome is known.
     pub(super) fn has_outcome(&self, key: &Digest, by: &Attempt) -> bool {
         let claim = self.claims.get(key);
--- a/crates/lavenderhatch-decide/src/orders/owner.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner.rs
@@ -16,7 +16,7 @@
 use waiting::Waiting;
 
 use super::claim_table::ClaimTable;
-use super::range_log::{Attempt, BatchId, Head, LogRecord, RangeImage};
+use super::range_log::{Attempt, BatchId, Head, LogRecord, RangeImage, SEAL_RECORDS};
 use crate::message::{Claim, ClaimVerdict, OutcomeRecord};
 
 /// Least time between two commits of a range.
@@ -55,6 +55,7 @@
     node: NodeId,
     incarnation: Incarnation,
     next_batch: u64,
+    seal_after: usize,
     version: Option<u64>,
     head: Head,
     table: ClaimTable,
@@ -86,6 +87,7 @@
             node,
             incarnation,
             next_batch: first_batch,
+            seal_after: SEAL_RECORDS,
             version: None,
             head: Head::default(),
             table: ClaimTable::default(),
@@ -104,6 +106,12 @@
         }
     }
 
+    /// Seals the head at this number of records instead of the default.
+    pub fn seal_after(mut self, records: usize) -> Self {
+        self.seal_after = records;
+        self
+    }
+
     /// Takes a claim.
     pub fn claim(&mut self, claim: Claim, waiter: W, cx: &OwnerView<'_>) {
         let mut open: Vec<&mut Waiting<W>> = match &mut self.exchange {
@@ -216,7 +224,7 @@
         if !dropped.is_empty() {
             self.table.forget(cx.now, cx.retention);
         }
-        let archive = head.seal(&id, cx.now);
+        let archive = head.seal(&id, cx.now, self.seal_after);
         head.push_batch(id);
         let records: Vec<LogRecord> = drain_front(&mut self.records, MAX_OUTCOMES);
         let claims = drain_front(&mut self.waiting, MAX_BATCH);
@@ -338,6 +346,11 @@
             self.table.apply(&segment.records);
         }
         self.table.apply(&image.head.records);
+        if self.uncertain.is_none() {
+            // The log holds the others already, or the claim that they end was never written.
+            let table = &self.table;
+            self.records.retain(|record| table.is_ended_by(record));
+        }
         self.table.apply(&self.records);
         self.version = image.version;
         self.head = image.head;
--- a/crates/lavenderhatch-decide/src/orders/range_log.rs
+++ b/crates/lavenderhatch-decide/src/orders/range_log.rs
@@ -166,9 +166,14 @@
 }
 
 impl Head {
-    /// Seals the records if there are many.
-    pub(super) fn seal(&mut self, batch: &BatchId, now: Timestamp) -> Option<Archive> {
-        if self.records.len() < SEAL_RECORDS {
+    /// Seals the records if there are `after` or more.
+    pub(super) fn seal(
+        &mut self,
+        batch: &BatchId,
+        now: Timestamp,
+        after: usize,
+    ) -> Option<Archive> {
+        if self.records.len() < after {
             return None;
         }
         let name = batch.to_string();
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the deciding functions.
+
+#![allow(clippy::unwrap_used)]
+
+mod orders;
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders.rs
@@ -0,0 +1,50 @@
+//! Orders at most once.
+
+mod execution;
+mod owner;
+mod random;
+mod rule;
+mod simulation;
+mod store;
+
+use rstest::rstest;
+
+use rule::SeededFault;
+use simulation::{Report, Simulation};
+
+/// Runs that are tried for each case.
+const SEEDS: u64 = 3000;
+
+fn run(seed: u64, fault: SeededFault) -> Report {
+    Simulation::new(seed, fault).run()
+}
+
+/// Guards against a second run of a key, and against "not run" for an order that ran or whose
+/// claim took effect, under messages that are late, doubled or lost, daemons that die or pause at
+/// any point, several owners at once, and a platform that is down or loses answers.
+#[test]
+fn keys_run_at_most_once_under_faults() {
+    let (mut ran, mut keys) = (0, 0);
+    for seed in 0..SEEDS {
+        let report = run(seed, SeededFault::None);
+        assert!(report.faults.is_empty(), "seed {seed}: {:?}", report.faults);
+        ran += report.keys_run;
+        keys += report.keys;
+    }
+    // A rule that never runs anything would pass the checks above.
+    assert!(ran * 2 > keys, "{ran} of {keys} keys ran");
+}
+
+/// Guards against a checker that cannot fail.
+#[rstest]
+#[case::grant_before_write(SeededFault::GrantBeforeWrite, "ran 2 times")]
+#[case::not_run_after_lost_answer(SeededFault::NotRunAfterLostAnswer, "took effect")]
+fn checker_finds_seeded_fault(#[case] fault: SeededFault, #[case] expected: &str) {
+    let found = (0..SEEDS).find_map(|seed| {
+        let faults = run(seed, fault).faults;
+        let fault = faults.into_iter().find(|text| text.contains(expected))?;
+        Some((seed, fault))
+    });
+    let (seed, text) = found.unwrap();
+    println!("found by seed {seed}: {text}");
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/rule.rs
@@ -0,0 +1,89 @@
+//! The rule under test, and copies of it with a seeded fault.
+
+use lavenderhatch_core::{Incarnation, NodeId};
+use lavenderhatch_decide::message::{Claim, ClaimVerdict, OutcomeRecord};
+use lavenderhatch_decide::orders::{
+    CommitResult, LogRecord, OwnerView, RangeImage, RangeOwner, RangeStep,
+};
+
+/// A fault that the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SeededFault {
+    None,
+    /// A claim is granted when its write is sent, not when it is confirmed.
+    GrantBeforeWrite,
+    /// A write whose answer was lost is treated as one that had no effect.
+    NotRunAfterLostAnswer,
+}
+
+/// Records after which the head is sealed, so that short runs have many segments.
+const SEAL_RECORDS: usize = 5;
+
+/// A range's owner with a seeded fault.
+pub(super) struct Owner<W> {
+    inner: RangeOwner<W>,
+    fault: SeededFault,
+    waiting: Vec<(Claim, W)>,
+    early: Vec<(W, ClaimVerdict)>,
+}
+
+impl<W: Clone> Owner<W> {
+    pub(super) fn open(node: NodeId, incarnation: Incarnation, fault: SeededFault) -> Self {
+        Self {
+            inner: RangeOwner::open(node, incarnation, 0).seal_after(SEAL_RECORDS),
+            fault,
+            waiting: Vec::new(),
+            early: Vec::new(),
+        }
+    }
+
+    pub(super) fn claim(&mut self, claim: Claim, waiter: W, cx: &OwnerView<'_>) {
+        if self.fault == SeededFault::GrantBeforeWrite {
+            self.waiting.push((claim.clone(), waiter.clone()));
+        }
+        self.inner.claim(claim, waiter, cx);
+    }
+
+    pub(super) fn record(&mut self, record: &OutcomeRecord, cx: &OwnerView<'_>) {
+        self.inner.record(record, cx);
+    }
+
+    pub(super) fn next_step(&mut self, cx: &OwnerView<'_>) -> Option<RangeStep> {
+        let step = self.inner.next_step(cx);
+        if let Some(RangeStep::Commit(commit)) = &step {
+            let written = |claim: &Claim| {
+                let mut records = commit.head.records.iter();
+                records.any(|record| {
+                    matches!(record, LogRecord::Claim { by, .. }
+                    if by.node == claim.executor && by.number == claim.attempt)
+                })
+            };
+            for (claim, waiter) in self.waiting.drain(..) {
+                if written(&claim) {
+                    self.early.push((waiter, ClaimVerdict::Granted));
+                }
+            }
+        }
+        step
+    }
+
+    pub(super) fn committed(&mut self, result: CommitResult, cx: &OwnerView<'_>) {
+        let result = match (self.fault, result) {
+            (SeededFault::NotRunAfterLostAnswer, CommitResult::AnswerLost) => {
+                CommitResult::Unavailable
+            }
+            (_, result) => result,
+        };
+        self.inner.committed(result, cx);
+    }
+
+    pub(super) fn loaded(&mut self, image: Option<RangeImage>, cx: &OwnerView<'_>) {
+        self.inner.loaded(image, cx);
+    }
+
+    pub(super) fn take_verdicts(&mut self) -> Vec<(W, ClaimVerdict)> {
+        let mut verdicts = std::mem::take(&mut self.early);
+        verdicts.extend(self.inner.take_verdicts());
+        verdicts
+    }
+}
