Test orders with daemons as processes

Cause: the path of an order from caller to platform was only checked in parts. Change: tests of the same key twice and at three daemons at once, a platform outage, a lost answer of the platform, and an executor that is killed while it runs; /status shows the claims section.

--- a/crates/lavenderhatch-daemon/src/admin/status.rs
+++ b/crates/lavenderhatch-daemon/src/admin/status.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_core::claims::ClaimsView;
 use lavenderhatch_core::drain::StopStatus;
 use lavenderhatch_core::load::LoadView;
 use lavenderhatch_core::{MemberRecord, NodeId, StopName, Timestamp, Version};
@@ -32,6 +33,8 @@
     pub stops: BTreeMap<StopName, StopStatus>,
     /// Load of this backend server.
     pub load: LoadView,
+    /// Orders that this daemon keeps at most once.
+    pub claims: ClaimsView,
 }
 
 impl DaemonStatus {
@@ -59,6 +62,7 @@
                 .collect(),
             stops: board.drains.load().stops.clone(),
             load: LoadView::clone(&board.load.load()),
+            claims: ClaimsView::clone(&board.claims.load()),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod orders;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/orders.rs
@@ -0,0 +1,248 @@
+//! Orders at most once, with daemons as processes.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use lavenderhatch_platform::Faults;
+use lavenderhatch_standin::Behaviour;
+use rstest::rstest;
+use ureq::Agent;
+use ureq::http::Response;
+
+use crate::support::{Cluster, Node, poll};
+
+const MESH: &str = r#"{
+  "ranks": { "urgent": { "target_ms": 50, "worth": 100, "share": 0.4 } },
+  "services": { "orders": { "slots": 12 }, "front": { "slots": 12 } },
+  "routes": {
+    "place-order": { "path": "/orders", "methods": ["POST"], "service": "orders",
+                     "rank": "urgent", "timeout_ms": 4000, "idempotent": false },
+  },
+}"#;
+/// Time within which the daemons have read the claims of all ranges.
+const OWNERSHIP_LIMIT: Duration = Duration::from_secs(20);
+const RANGES: usize = 64;
+
+struct Answer {
+    status: u16,
+    outcome: String,
+    error: Option<String>,
+    recorded: Option<String>,
+    body: String,
+}
+
+/// Two daemons that run orders, one that only forwards them, and all ranges owned.
+fn start() -> Cluster {
+    let cluster = Cluster::start(&["orders", "orders", "front"]);
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    poll(OWNERSHIP_LIMIT, "owners of all ranges", || {
+        let owned = |node: &Node| {
+            let ranges = &node.status()?["claims"]["owned_ranges"];
+            Some(ranges.as_array()?.len())
+        };
+        let owned: usize = cluster.nodes.iter().map(owned).sum::<Option<_>>()?;
+        (owned == RANGES).then_some(())
+    });
+    cluster
+}
+
+fn post(addr: SocketAddr, path: &str, key: Option<&str>, body: &str) -> Answer {
+    let agent: Agent = Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let url = format!("http://{addr}{path}");
+    let mut req = agent.post(url);
+    if let Some(key) = key {
+        req = req.header("idempotency-key", key);
+    }
+    let mut res = req.send(body).unwrap();
+    let header = |res: &Response<_>, name: &str| {
+        let value = res.headers().get(name)?;
+        Some(value.to_str().unwrap().to_owned())
+    };
+    Answer {
+        status: res.status().as_u16(),
+        outcome: header(&res, "lavenderhatch-outcome").unwrap(),
+        error: header(&res, "lavenderhatch-error"),
+        recorded: header(&res, "lavenderhatch-recorded"),
+        body: res.body_mut().read_to_string().unwrap(),
+    }
+}
+
+fn order(cluster: &Cluster, node: usize, key: &str) -> Answer {
+    post(
+        cluster.nodes[node].caller_addr,
+        "/orders",
+        Some(key),
+        "one pallet",
+    )
+}
+
+fn issue(cluster: &Cluster, node: usize) -> String {
+    let path = "/.well-known/lavenderhatch/keys?route=place-order";
+    let answer = post(cluster.nodes[node].caller_addr, path, None, "");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    answer.body
+}
+
+fn runs(cluster: &Cluster, key: &str) -> u64 {
+    let counts = cluster.nodes.iter().map(|node| node.backend.counts());
+    counts
+        .filter_map(|counts| counts.by_key.get(key).copied())
+        .sum()
+}
+
+/// Guards against a second run when a caller asks again, at the same daemon or at another, and
+/// against an outcome that differs from the first.
+#[rstest]
+#[case::chosen(false)]
+#[case::issued(true)]
+fn same_key_again_gives_recorded_outcome(#[case] is_issued: bool) {
+    let cluster = start();
+    let key = if is_issued {
+        issue(&cluster, 2)
+    } else {
+        "invoice-7".to_owned()
+    };
+    let first = order(&cluster, 2, &key);
+    assert_eq!(
+        (first.status, first.outcome.as_str()),
+        (200, "ran"),
+        "{}",
+        first.body
+    );
+    assert_eq!(first.recorded, None);
+    for node in [0, 1, 2, 0, 1] {
+        let again = order(&cluster, node, &key);
+        match again.recorded.as_deref() {
+            Some("whole") => assert_eq!(again.body, first.body),
+            Some("status") => assert!(!is_issued && again.body.is_empty()),
+            // The outcome may still be on its way to the owner of the range.
+            other => assert_eq!(
+                (other, again.error.as_deref()),
+                (None, Some("key-in-flight"))
+            ),
+        }
+        if again.error.is_none() {
+            assert_eq!((again.status, again.outcome.as_str()), (200, "ran"));
+        }
+    }
+    let other = post(
+        cluster.nodes[1].caller_addr,
+        "/orders",
+        Some(&key),
+        "two pallets",
+    );
+    assert_eq!(
+        other.error.as_deref(),
+        Some("key-conflict"),
+        "{}",
+        other.body
+    );
+    assert_eq!(runs(&cluster, &key), 1);
+}
+
+/// Guards against a second run when the same key arrives at two daemons at the same time.
+#[test]
+fn same_key_at_two_daemons_at_once_runs_once() {
+    let cluster = start();
+    let keys: Vec<String> = (0..20).map(|n| format!("order-{n}")).collect();
+    thread::scope(|scope| {
+        for (key, node) in keys.iter().flat_map(|key| [(key, 0), (key, 1), (key, 2)]) {
+            let cluster = &cluster;
+            scope.spawn(move || {
+                let answer = order(cluster, node, key);
+                let is_refused = answer.error.as_deref() == Some("key-in-flight");
+                assert!(is_refused || answer.outcome == "ran", "{}", answer.body);
+            });
+        }
+    });
+    for key in &keys {
+        assert_eq!(runs(&cluster, key), 1, "{key}");
+    }
+}
+
+/// Guards against a false "not run", and against orders with issued keys that need the platform.
+#[test]
+fn platform_outage_refuses_chosen_keys_and_keeps_issued_keys() {
+    let cluster = start();
+    let is_down = true;
+    cluster.platform.set_faults(Faults {
+        is_down,
+        ..Faults::default()
+    });
+    let refused = order(&cluster, 0, "during-outage");
+    assert_eq!(
+        refused.error.as_deref(),
+        Some("claim-unavailable"),
+        "{}",
+        refused.body
+    );
+    assert_eq!(refused.outcome, "not-run");
+    assert_eq!(runs(&cluster, "during-outage"), 0);
+    let key = issue(&cluster, 2);
+    assert_eq!(order(&cluster, 0, &key).outcome, "ran");
+    assert_eq!(runs(&cluster, &key), 1);
+    cluster.platform.set_faults(Faults::default());
+    let answer = order(&cluster, 1, "during-outage");
+    assert_eq!(answer.outcome, "ran", "{}", answer.body);
+    assert_eq!(runs(&cluster, "during-outage"), 1);
+}
+
+/// Guards against an order that is given up, or run twice, because the platform's answer to its
+/// claim was lost after the write took effect.
+#[test]
+fn lost_answer_of_platform_is_read_back() {
+    let cluster = start();
+    let lost_answers = 1;
+    cluster.platform.set_faults(Faults {
+        lost_answers,
+        ..Faults::default()
+    });
+    let answer = order(&cluster, 0, "lost");
+    assert_eq!(answer.outcome, "ran", "{}", answer.body);
+    assert_eq!(cluster.platform.faults().lost_answers, 0);
+    assert_eq!(order(&cluster, 0, "lost").status, 200);
+    assert_eq!(runs(&cluster, "lost"), 1);
+}
+
+/// Guards against a second run of an order whose executor died while it ran.
+#[rstest]
+#[case::chosen(false)]
+#[case::issued(true)]
+fn killed_executor_leaves_outcome_unknown(#[case] is_issued: bool) {
+    let mut cluster = start();
+    let behaviour = Behaviour {
+        service_ms: 1000,
+        ..Behaviour::default()
+    };
+    cluster
+        .nodes
+        .iter()
+        .for_each(|node| node.backend.set_behaviour(behaviour.clone()));
+    let key = if is_issued {
+        issue(&cluster, 2)
+    } else {
+        "pallet-9".to_owned()
+    };
+    let (addr, sent) = (cluster.nodes[2].caller_addr, key.clone());
+    let first = thread::spawn(move || post(addr, "/orders", Some(&sent), "one pallet"));
+    let executor = poll(Duration::from_secs(4), "the order to run", || {
+        let mut nodes = cluster.nodes.iter();
+        nodes.position(|node| node.backend.in_flight() == 1)
+    });
+    cluster.nodes[executor].kill();
+    let first = first.join().unwrap();
+    assert_eq!(first.outcome, "unknown", "{}", first.body);
+    for node in (0..3).filter(|node| *node != executor) {
+        let again = order(&cluster, node, &key);
+        assert_eq!(again.outcome, "unknown", "{}", again.body);
+    }
+    cluster.nodes[executor].start();
+    let again = order(&cluster, executor, &key);
+    assert_eq!(again.outcome, "unknown", "{}", again.body);
+    assert_eq!(runs(&cluster, &key), 1);
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -3,4 +3,5 @@
 mod cluster;
 mod poll;
 
-pub(crate) use cluster::Cluster;
+pub(crate) use cluster::{Cluster, Node};
+pub(crate) use poll::poll;
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -41,6 +41,7 @@
 /// A platform stand-in and daemons. Dropping it ends the processes and removes its files.
 pub(crate) struct Cluster {
     pub(crate) nodes: Vec<Node>,
+    pub(crate) platform: MemoryPlatform,
     platform_addr: SocketAddr,
     _server: PlatformServer,
     dir: PathBuf,
@@ -55,9 +56,10 @@
         fs::create_dir_all(&dir).unwrap();
         let platform = MemoryPlatform::default();
         let platform_addr = free_addr();
-        let server = PlatformServer::bind(platform_addr, platform).unwrap();
+        let server = PlatformServer::bind(platform_addr, platform.clone()).unwrap();
         let mut cluster = Self {
             nodes: Vec::new(),
+            platform,
             platform_addr,
             _server: server,
             dir,
