--- a/crates/lavenderhatch-decide/tests/testsuite/orders/execution.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/execution.rs
@@ -1,1 +1,134 @@
+//! What an executor remembers.
 
+use lavenderhatch_core::call::CallAnswer;
+use lavenderhatch_core::{Digest, ErrorKind, Incarnation, NodeId};
+use lavenderhatch_decide::message::RecordedOutcome;
+use lavenderhatch_decide::orders::{
+    Begin, ExecutionTable, IssuedKey, KeyForm, OrderEnd, RECORDED_HEADER, key_hash,
+    recorded_answer, request_digest,
+};
+use rstest::rstest;
+
+const ISSUED: u64 = 1 << 22;
+
+fn table() -> ExecutionTable {
+    ExecutionTable::new(NodeId::new("n0").unwrap(), Incarnation(7))
+}
+
+fn answer(body: &[u8]) -> CallAnswer {
+    let body_digest = Digest::of(body);
+    let mut answer = recorded_answer(&RecordedOutcome {
+        status: 201,
+        body_digest,
+    });
+    answer.headers.clear();
+    answer.body = body.to_vec();
+    answer
+}
+
+fn begin(table: &mut ExecutionTable, seq: u64, attempt: u64) -> Begin {
+    let request = request_digest("POST", "/orders", b"one");
+    table.begin(
+        key_hash(&seq.to_string()),
+        request,
+        KeyForm::Issued(seq),
+        attempt,
+        ISSUED,
+    )
+}
+
+fn kind(begin: Begin) -> Option<ErrorKind> {
+    match begin {
+        Begin::Answer(answer) => answer.err().map(|err| err.kind()),
+        _ => None,
+    }
+}
+
+/// Guards against a key that runs again after any end but "not run", and against one that cannot
+/// run after "not run".
+#[rstest]
+#[case::running(None, Some(ErrorKind::KeyInFlight))]
+#[case::unknown(Some(OrderEnd::Unknown), Some(ErrorKind::OutcomeUnknown))]
+#[case::not_run(Some(OrderEnd::NotRun), None)]
+#[case::ran(Some(OrderEnd::Ran(answer(b"ok"))), None)]
+fn second_call_with_a_key(#[case] end: Option<OrderEnd>, #[case] expected: Option<ErrorKind>) {
+    let mut table = table();
+    assert_eq!(begin(&mut table, 5, 1), Begin::Run);
+    let has_run = matches!(end, Some(OrderEnd::Ran(_)));
+    let is_free = end == Some(OrderEnd::NotRun);
+    if let Some(end) = end {
+        table.finish(key_hash("5"), 1, end);
+    }
+    // A report of an earlier attempt must not end a later one.
+    assert_eq!(table.finish(key_hash("5"), 99, OrderEnd::NotRun), None);
+    let second = begin(&mut table, 5, 2);
+    if has_run {
+        let Begin::Answer(recorded) = second else {
+            panic!("ran again")
+        };
+        let recorded = recorded.unwrap();
+        assert_eq!((recorded.status, &recorded.body[..]), (201, &b"ok"[..]));
+        assert_eq!(recorded.headers[0].name, RECORDED_HEADER);
+        return;
+    }
+    assert_eq!(second == Begin::Run, is_free);
+    assert_eq!(kind(second), expected);
+}
+
+/// Guards against a key that runs again once its record was dropped for later ones, and against a
+/// recorded answer that is told without its body as if it were whole.
+#[rstest]
+#[case::within_memory(1_000, None)]
+#[case::body_dropped(10_000, None)]
+#[case::entry_dropped(30_000, Some(ErrorKind::OutcomeUnknown))]
+#[case::beyond_window(1 << 21, Some(ErrorKind::OutcomeUnknown))]
+fn old_issued_key_never_runs_again(#[case] later: u64, #[case] expected: Option<ErrorKind>) {
+    let mut table = table();
+    let body = vec![b'x'; 1024];
+    // Of a window of keys only the last ones need to be used to move it on.
+    for seq in [0]
+        .into_iter()
+        .chain(later.saturating_sub(30_000) + 1..=later)
+    {
+        assert_eq!(begin(&mut table, seq, seq + 1), Begin::Run);
+        let end = OrderEnd::Ran(answer(&body));
+        table.finish(key_hash(&seq.to_string()), seq + 1, end);
+    }
+    let again = begin(&mut table, 0, later + 2);
+    assert_ne!(again, Begin::Run);
+    if let Begin::Answer(recorded) = &again {
+        if let Ok(recorded) = &**recorded {
+            let is_whole = recorded.headers[0].value == "whole";
+            assert_eq!(is_whole, later == 1_000);
+            assert_eq!(recorded.body.len(), if is_whole { 1024 } else { 0 });
+        }
+    }
+    assert_eq!(kind(again), expected);
+}
+
+/// Guards against a made-up key that runs, and against one key for two requests.
+#[test]
+fn made_up_key_and_other_body_are_refused() {
+    let mut table = table();
+    assert_eq!(
+        kind(begin(&mut table, ISSUED, 1)),
+        Some(ErrorKind::BadRequest)
+    );
+    assert_eq!(begin(&mut table, 1, 2), Begin::Run);
+    let other = request_digest("POST", "/orders", b"two");
+    let second = table.begin(key_hash("1"), other, KeyForm::Issued(1), 3, ISSUED);
+    assert_eq!(kind(second), Some(ErrorKind::KeyConflict));
+}
+
+/// Guards against two spellings of one key, and against a damaged key that counts as chosen.
+#[rstest]
+#[case("lh1.n0.7.12", true)]
+#[case("lh1.n0.7.012", false)]
+#[case("lh1.n0.+7.12", false)]
+#[case("lh1.n0.7", false)]
+#[case("lh1.N0.7.1", false)]
+#[case("lh1.n0.7.1.2", false)]
+fn issued_key_has_one_spelling(#[case] text: &str, #[case] is_valid: bool) {
+    assert_eq!(IssuedKey::parse(text).is_ok(), is_valid);
+    assert_eq!(IssuedKey::parse("invoice-7"), Ok(None));
+}
