Measure what keeping orders at most once costs

Cause: no figures for platform writes an order, the latency added, and the state of a range's owner. The owner's parts (pace, waiting claims, outcomes, verdicts) are types of their own.

--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/orders/state.rs
@@ -0,0 +1,201 @@
+//! The state of a range's owner.
+
+use std::fs;
+use std::time::Instant;
+
+use eyre::{OptionExt, Result, bail};
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{Digest, Incarnation, NodeId, Timestamp};
+use lavenderhatch_decide::message::{Claim, OutcomeRecord, RecordedOutcome};
+use lavenderhatch_decide::orders::{
+    Commit, CommitResult, Head, OwnerView, RangeImage, RangeOwner, RangeStep, Segment, key_hash,
+};
+use serde::Serialize;
+
+const RETENTION: std::time::Duration = std::time::Duration::from_secs(24 * 3600);
+/// Claims in each commit while the log is filled.
+const BATCH: u64 = 100;
+/// Time between two commits while the log is filled, in milliseconds.
+const STEP_MS: u64 = 1100;
+const PAGE_BYTES: u64 = 4096;
+
+/// Figures of a range's owner.
+#[derive(Debug, Serialize)]
+pub(crate) struct StateRow {
+    pub(crate) claims: u64,
+    pub(crate) memory_bytes_per_claim: f64,
+    pub(crate) stored_bytes_per_claim: f64,
+    pub(crate) segments: usize,
+    pub(crate) largest_head_bytes: usize,
+    pub(crate) take_over_ms: f64,
+    pub(crate) parse_ms: f64,
+    pub(crate) conflict_ms: f64,
+}
+
+/// The stored log of one range.
+#[derive(Default)]
+struct Log {
+    version: u64,
+    head: Vec<u8>,
+    largest_head: usize,
+    segments: Vec<Vec<u8>>,
+}
+
+impl Log {
+    fn write(&mut self, commit: &Commit) -> Result<CommitResult> {
+        if let Some(archive) = &commit.archive {
+            self.segments.push(serde_json::to_vec(&archive.segment)?);
+        }
+        self.version += 1;
+        self.head = serde_json::to_vec(&commit.head)?;
+        self.largest_head = self.largest_head.max(self.head.len());
+        Ok(CommitResult::Written(self.version))
+    }
+
+    /// Reads the head, and the segments unless they are held already.
+    fn read(&self, is_whole: bool) -> Result<RangeImage> {
+        let parse = |value: &Vec<u8>| serde_json::from_slice::<Segment>(value);
+        let segments = self.segments.iter().filter(|_| is_whole);
+        Ok(RangeImage {
+            version: Some(self.version),
+            head: serde_json::from_slice::<Head>(&self.head)?,
+            segments: segments.map(parse).collect::<Result<_, _>>()?,
+        })
+    }
+
+    fn bytes(&self) -> usize {
+        self.head.len() + self.segments.iter().map(Vec::len).sum::<usize>()
+    }
+}
+
+struct Subject {
+    owner: RangeOwner<()>,
+    members: Members,
+    now: u64,
+}
+
+impl Subject {
+    fn new(node: &str) -> Result<Self> {
+        Ok(Self {
+            owner: RangeOwner::open(NodeId::new(node)?, Incarnation(1), 0),
+            members: Members::default(),
+            now: 1_000_000,
+        })
+    }
+
+    fn act<T>(&mut self, act: impl FnOnce(&mut RangeOwner<()>, &OwnerView<'_>) -> T) -> T {
+        let view = OwnerView {
+            now: Timestamp(self.now),
+            retention: RETENTION,
+            members: &self.members,
+        };
+        act(&mut self.owner, &view)
+    }
+
+    fn commit(&mut self, log: &mut Log) -> Result<()> {
+        self.now += STEP_MS;
+        if let Some(RangeStep::Commit(commit)) = self.act(|owner, cx| owner.next_step(cx)) {
+            let result = log.write(&commit)?;
+            self.act(|owner, cx| owner.committed(result, cx));
+        }
+        Ok(())
+    }
+}
+
+fn claim(number: u64) -> Result<Claim> {
+    Ok(Claim {
+        key_hash: key_hash(&format!("order-{number}")),
+        request_digest: Digest::of(&number.to_le_bytes()),
+        executor: NodeId::new("orders-eu-west-1-0042")?,
+        incarnation: Incarnation(1_796_300_000_000),
+        attempt: number,
+    })
+}
+
+fn outcome(claim: &Claim) -> OutcomeRecord {
+    OutcomeRecord {
+        key_hash: claim.key_hash,
+        executor: claim.executor.clone(),
+        incarnation: claim.incarnation,
+        attempt: claim.attempt,
+        outcome: Some(RecordedOutcome {
+            status: 201,
+            body_digest: claim.request_digest,
+        }),
+    }
+}
+
+/// Fills the log of a range and measures an owner that takes it over.
+pub(crate) fn measure(claims: u64) -> Result<StateRow> {
+    let mut log = Log::default();
+    let before = resident_bytes()?;
+    let first = fill(&mut log, claims)?;
+    // What is resident besides the stored values is the owner's state, with what the allocator has
+    // not given back.
+    let memory = resident_bytes()?.saturating_sub(before + log.bytes() as u64);
+    drop(first);
+    let mut next = Subject::new("taker")?;
+    next.now += claims;
+    next.act(|owner, cx| owner.next_step(cx));
+    let start = Instant::now();
+    let image = log.read(true)?;
+    let parse_ms = start.elapsed().as_secs_f64() * 1000.0;
+    next.act(|owner, cx| owner.loaded(Some(image), cx));
+    let take_over_ms = start.elapsed().as_secs_f64() * 1000.0;
+    if next.owner.held_claims() as u64 != claims {
+        bail!("{} of {claims} claims were read", next.owner.held_claims());
+    }
+    let conflict_ms = lose_and_merge(&mut next, &log)?;
+    Ok(StateRow {
+        claims,
+        memory_bytes_per_claim: memory as f64 / claims as f64,
+        stored_bytes_per_claim: log.bytes() as f64 / claims as f64,
+        segments: log.segments.len(),
+        largest_head_bytes: log.largest_head,
+        take_over_ms,
+        parse_ms,
+        conflict_ms,
+    })
+}
+
+fn fill(log: &mut Log, claims: u64) -> Result<Subject> {
+    let mut first = Subject::new("filler")?;
+    first.act(|owner, cx| owner.next_step(cx));
+    first.act(|owner, cx| owner.loaded(Some(RangeImage::default()), cx));
+    for start in (0..claims).step_by(BATCH as usize) {
+        let batch = (start..claims.min(start + BATCH)).map(claim);
+        let batch = batch.collect::<Result<Vec<Claim>>>()?;
+        for claim in &batch {
+            first.act(|owner, cx| owner.claim(claim.clone(), (), cx));
+        }
+        first.commit(log)?;
+        for claim in &batch {
+            first.act(|owner, cx| owner.record(&outcome(claim), cx));
+        }
+        first.owner.take_verdicts();
+    }
+    first.commit(log)?;
+    Ok(first)
+}
+
+/// Time from a conflict to the merged state, with the head read anew.
+fn lose_and_merge(subject: &mut Subject, log: &Log) -> Result<f64> {
+    let late = claim(u64::MAX)?;
+    subject.act(|owner, cx| owner.claim(late, (), cx));
+    subject.now += STEP_MS;
+    subject.act(|owner, cx| owner.next_step(cx));
+    subject.act(|owner, cx| owner.committed(CommitResult::Conflict, cx));
+    subject.now += STEP_MS;
+    subject.act(|owner, cx| owner.next_step(cx));
+    let start = Instant::now();
+    let image = log.read(false)?;
+    subject.act(|owner, cx| owner.loaded(Some(image), cx));
+    Ok(start.elapsed().as_secs_f64() * 1000.0)
+}
+
+/// Memory of this process that is resident.
+fn resident_bytes() -> Result<u64> {
+    let statm = fs::read_to_string("/proc/self/statm")?;
+    let pages: u64 = statm.split(' ').nth(1).ok_or_eyre("no field")?.parse()?;
+    Ok(pages * PAGE_BYTES)
+}
--- a/crates/lavenderhatch-decide/src/orders/execution.rs
+++ b/crates/lavenderhatch-decide/src/orders/execution.rs
@@ -103,10 +103,10 @@
         if let Some(present) = self.entries.get(&key) {
             return Begin::Answer(Box::new(present.answer(&request)));
         }
-        if let KeyForm::Issued(seq) = form {
-            if let Err(err) = self.start_issued(seq, issued) {
-                return Begin::Answer(Box::new(Err(err)));
-            }
+        if let KeyForm::Issued(seq) = form
+            && let Err(err) = self.start_issued(seq, issued)
+        {
+            return Begin::Answer(Box::new(Err(err)));
         }
         let execution = Execution {
             form,
--- a/crates/lavenderhatch-decide/src/orders/owner.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner.rs
@@ -5,39 +5,31 @@
 //! because its own write was confirmed or because it read the log. Whether the node that runs this
 //! code is the rightful owner does not matter: a write against an outdated version has no effect.
 
+mod outcomes;
+mod pace;
 mod step;
+mod verdicts;
 mod waiting;
 
-use std::time::Duration;
-
 use lavenderhatch_core::{Incarnation, NodeId, Timestamp};
 
+use outcomes::Outcomes;
+pub use pace::COMMIT_INTERVAL;
+use pace::Pace;
 pub use step::{Commit, CommitResult, OwnerCounts, OwnerView, RangeStep};
-use waiting::Waiting;
+use verdicts::Verdicts;
+use waiting::{Joined, WaitingList};
 
 use super::claim_table::ClaimTable;
 use super::range_log::{Attempt, BatchId, Head, LogRecord, RangeImage, SEAL_RECORDS};
 use crate::message::{Claim, ClaimVerdict, OutcomeRecord};
 
-/// Least time between two commits of a range.
-pub const COMMIT_INTERVAL: Duration = Duration::from_millis(250);
-/// Time that outcomes wait for a commit that holds claims.
-const OUTCOME_DELAY: Duration = Duration::from_secs(1);
-/// Wait after a failed exchange before the next one that no claim asks for.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Longest wait of a claim for a verdict.
-const CLAIM_WAIT: Duration = Duration::from_secs(10);
-/// Most claims in one commit. Keeps the head below the largest value of the platform.
-const MAX_BATCH: usize = 1000;
-/// Most outcomes in one commit.
-const MAX_OUTCOMES: usize = 1000;
-
 /// A commit under way.
 #[derive(Debug)]
 struct Batch<W> {
     head: Head,
     expected: Option<u64>,
-    claims: Vec<Waiting<W>>,
+    claims: WaitingList<W>,
     records: Vec<LogRecord>,
 }
 
@@ -64,18 +56,14 @@
     /// Whether the log is to be read although no claim waits.
     is_load_due: bool,
     exchange: Exchange<W>,
-    waiting: Vec<Waiting<W>>,
-    /// Outcomes that are not in the log yet. Invariant: applied to `table` while it is current.
-    records: Vec<LogRecord>,
-    records_since: Timestamp,
+    waiting: WaitingList<W>,
+    /// Invariant: applied to `table` while it is current.
+    outcomes: Outcomes,
     /// Version against which a write was sent whose answer was lost. Until the head has another
     /// version, that write may still take effect.
     uncertain: Option<Option<u64>>,
-    last_commit: Option<Timestamp>,
-    last_load: Option<Timestamp>,
-    retry_at: Timestamp,
-    verdicts: Vec<(W, ClaimVerdict)>,
-    counts: OwnerCounts,
+    pace: Pace,
+    verdicts: Verdicts<W>,
 }
 
 impl<W> RangeOwner<W> {
@@ -94,15 +82,11 @@
             is_current: false,
             is_load_due: true,
             exchange: Exchange::None,
-            waiting: Vec::new(),
-            records: Vec::new(),
-            records_since: Timestamp::default(),
+            waiting: WaitingList::new(),
+            outcomes: Outcomes::default(),
             uncertain: None,
-            last_commit: None,
-            last_load: None,
-            retry_at: Timestamp::default(),
-            verdicts: Vec::new(),
-            counts: OwnerCounts::default(),
+            pace: Pace::default(),
+            verdicts: Verdicts::new(),
         }
     }
 
@@ -114,29 +98,21 @@
 
     /// Takes a claim.
     pub fn claim(&mut self, claim: Claim, waiter: W, cx: &OwnerView<'_>) {
-        let mut open: Vec<&mut Waiting<W>> = match &mut self.exchange {
-            Exchange::Committing(batch) => batch.claims.iter_mut().collect(),
-            _ => Vec::new(),
+        let joined = match &mut self.exchange {
+            Exchange::Committing(batch) => batch.claims.join(&claim, waiter),
+            _ => Joined::None(waiter),
         };
-        open.extend(self.waiting.iter_mut());
-        let same_key = open
-            .into_iter()
-            .find(|present| present.claim.key_hash == claim.key_hash);
-        if let Some(present) = same_key {
-            match present.is_same_attempt(&claim) {
-                true => present.waiters.push(waiter),
-                false => self.verdicts.push((waiter, ClaimVerdict::InFlight)),
-            }
-            return;
-        }
-        self.waiting.push(Waiting {
-            claim,
-            waiters: vec![waiter],
-            since: cx.now,
-            is_maybe_written: false,
-        });
-        if self.is_current {
-            self.settle(cx);
+        let joined = match joined {
+            Joined::None(waiter) => self.waiting.join(&claim, waiter),
+            joined => joined,
+        };
+        match joined {
+            Joined::Same => {}
+            Joined::KeyTaken(waiter) => self.verdicts.give_one(waiter, ClaimVerdict::InFlight),
+            Joined::None(waiter) => match self.verdict_on(&claim, cx) {
+                Some(verdict) if self.is_current => self.verdicts.give_one(waiter, verdict),
+                _ => self.waiting.push(claim, waiter, cx.now),
+            },
         }
     }
 
@@ -146,13 +122,13 @@
         if self.table.has_outcome(&record.key_hash, &by) {
             return;
         }
-        let given_up = self.waiting.iter().position(|wait| wait.is_for(record));
-        if let Some(at) = given_up {
-            let wait = self.waiting.remove(at);
-            self.refuse(wait);
+        if let Some(given_up) = self.waiting.take_ended(record) {
+            self.verdicts.refuse(given_up);
         }
         if self.table.is_open(&record.key_hash, &by) || self.may_appear(record) {
-            self.keep_record(LogRecord::of_outcome(record), cx.now);
+            let record = LogRecord::of_outcome(record);
+            self.table.apply([&record]);
+            self.outcomes.push(record, cx.now);
         }
     }
 
@@ -165,43 +141,40 @@
         is_committing || !self.is_current || self.uncertain.is_some()
     }
 
-    fn keep_record(&mut self, record: LogRecord, now: Timestamp) {
-        if self.records.contains(&record) {
-            return;
-        }
-        if self.records.is_empty() {
-            self.records_since = now;
-        }
-        self.table.apply([&record]);
-        self.records.push(record);
-    }
-
     /// The next exchange with the platform, if one is due.
     pub fn next_step(&mut self, cx: &OwnerView<'_>) -> Option<RangeStep> {
         if !matches!(self.exchange, Exchange::None) {
             return None;
         }
         self.expire(cx.now);
+        let is_due = self.wake_at().is_some_and(|at| cx.now >= at);
+        is_due.then(|| match self.is_current {
+            true => self.commit(cx),
+            false => self.load(cx.now),
+        })
+    }
+
+    /// When the next exchange is due, if nothing arrives before.
+    pub fn wake_at(&self) -> Option<Timestamp> {
+        if !matches!(self.exchange, Exchange::None) {
+            return None;
+        }
         let has_claims = !self.waiting.is_empty();
         if !self.is_current {
-            let is_retry_due = cx.now >= self.retry_at;
-            let is_wanted = self.is_load_due || !self.records.is_empty();
-            let is_slot = is_after_interval(self.last_load, cx.now);
-            let is_due = (has_claims && is_slot) || (is_wanted && is_retry_due);
-            return is_due.then(|| self.load(cx.now));
+            let is_wanted = self.is_load_due || !self.outcomes.is_empty();
+            let for_claims = has_claims.then(|| self.pace.load_slot());
+            let for_rest = is_wanted.then_some(self.pace.retry_at);
+            return for_claims.into_iter().chain(for_rest).min();
         }
-        let is_slot = is_after_interval(self.last_commit, cx.now);
-        let is_due = has_claims || self.is_outcome_due(cx.now);
-        (is_slot && is_due).then(|| self.commit(cx))
-    }
-
-    fn is_outcome_due(&self, now: Timestamp) -> bool {
-        let is_ripe = now >= self.records_since + OUTCOME_DELAY;
-        !self.records.is_empty() && is_ripe && now >= self.retry_at
+        let slot = self.pace.commit_slot();
+        let due = self.outcomes.due_at();
+        let for_outcomes = due.map(|due| due.max(self.pace.retry_at).max(slot));
+        let for_claims = has_claims.then_some(slot);
+        for_claims.into_iter().chain(for_outcomes).min()
     }
 
     fn load(&mut self, now: Timestamp) -> RangeStep {
-        self.last_load = Some(now);
+        self.pace.load_sent(now);
         self.exchange = Exchange::Loading;
         let held = self.head.segments.iter();
         RangeStep::Load {
@@ -210,29 +183,22 @@
     }
 
     fn commit(&mut self, cx: &OwnerView<'_>) -> RangeStep {
-        let id = BatchId {
-            node: self.node.clone(),
-            incarnation: self.incarnation,
-            number: self.next_batch,
-        };
-        self.next_batch += 1;
-        self.last_commit = Some(cx.now);
+        self.pace.commit_sent(cx.now);
+        let id = self.new_batch();
         let mut head = self.head.clone();
-        let oldest = cx.now.as_millis();
-        let oldest = Timestamp(oldest.saturating_sub(cx.retention.as_millis() as u64));
-        let dropped = head.drop_segments(oldest);
+        let oldest = cx.now.since(Timestamp::default() + cx.retention);
+        let dropped = head.drop_segments(Timestamp::default() + oldest);
         if !dropped.is_empty() {
             self.table.forget(cx.now, cx.retention);
         }
         let archive = head.seal(&id, cx.now, self.seal_after);
         head.push_batch(id);
-        let records: Vec<LogRecord> = drain_front(&mut self.records, MAX_OUTCOMES);
-        let claims = drain_front(&mut self.waiting, MAX_BATCH);
+        let records = self.outcomes.take_batch();
+        let claims = self.waiting.take_batch();
+        let claimed = |claim| LogRecord::of_claim(claim, cx.now);
         head.records.extend(records.iter().cloned());
-        let claimed = claims
-            .iter()
-            .map(|wait| LogRecord::of_claim(&wait.claim, cx.now));
-        head.records.extend(claimed);
+        head.records
+            .extend(claims.iter().map(|wait| claimed(&wait.claim)));
         let commit = Commit {
             archive,
             head: head.clone(),
@@ -248,6 +214,16 @@
         RangeStep::Commit(Box::new(commit))
     }
 
+    fn new_batch(&mut self) -> BatchId {
+        let number = self.next_batch;
+        self.next_batch += 1;
+        BatchId {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            number,
+        }
+    }
+
     /// Takes the end of a commit.
     pub fn committed(&mut self, result: CommitResult, cx: &OwnerView<'_>) {
         let Exchange::Committing(batch) = std::mem::replace(&mut self.exchange, Exchange::None)
@@ -256,23 +232,26 @@
         };
         match result {
             CommitResult::Written(version) => self.written(*batch, version, cx),
+            CommitResult::RateLimited => self.put_back(*batch),
             CommitResult::Conflict => {
-                self.counts.conflicts += 1;
+                self.verdicts.counts.conflicts += 1;
                 self.is_current = false;
-                self.put_back(*batch, false);
+                self.put_back(*batch);
             }
             CommitResult::AnswerLost => {
                 self.is_current = false;
                 self.uncertain = Some(batch.expected);
-                self.put_back(*batch, true);
+                let mut batch = *batch;
+                batch.claims.set_maybe_written(true);
+                self.put_back(batch);
             }
-            CommitResult::RateLimited => self.put_back(*batch, false),
             CommitResult::Unavailable => {
-                self.retry_at = cx.now + RETRY_DELAY;
+                self.pace.failed(cx.now);
                 let mut batch = *batch;
-                let claims = std::mem::take(&mut batch.claims);
-                self.put_back(batch, false);
-                claims.into_iter().for_each(|wait| self.refuse(wait));
+                for wait in batch.claims.take_all() {
+                    self.verdicts.refuse(wait);
+                }
+                self.put_back(batch);
             }
         }
         if self.is_current {
@@ -280,41 +259,28 @@
         }
     }
 
-    fn written(&mut self, batch: Batch<W>, version: u64, cx: &OwnerView<'_>) {
-        let Batch {
-            head,
-            claims,
-            records,
-            ..
-        } = batch;
+    fn written(&mut self, mut batch: Batch<W>, version: u64, cx: &OwnerView<'_>) {
         self.version = Some(version);
-        self.uncertain = None;
-        self.waiting
-            .iter_mut()
-            .for_each(|wait| wait.is_maybe_written = false);
-        self.table.apply(&records);
-        for wait in claims {
+        self.head = batch.head;
+        self.forget_uncertain();
+        self.table.apply(&batch.records);
+        for wait in batch.claims.take_all() {
             self.table
                 .apply([&LogRecord::of_claim(&wait.claim, cx.now)]);
-            self.give(wait, &ClaimVerdict::Granted);
+            self.verdicts.give(wait, &ClaimVerdict::Granted);
         }
-        self.head = head;
-        self.table.apply(&self.records);
+        self.table.apply(self.outcomes.iter());
     }
 
-    fn put_back(&mut self, batch: Batch<W>, is_maybe_written: bool) {
-        let Batch {
-            mut claims,
-            mut records,
-            ..
-        } = batch;
-        for wait in &mut claims {
-            wait.is_maybe_written |= is_maybe_written;
-        }
-        claims.append(&mut self.waiting);
-        self.waiting = claims;
-        records.append(&mut self.records);
-        self.records = records;
+    /// The head has moved on, so that no earlier write can take effect any more.
+    fn forget_uncertain(&mut self) {
+        self.uncertain = None;
+        self.waiting.set_maybe_written(false);
+    }
+
+    fn put_back(&mut self, batch: Batch<W>) {
+        self.waiting.put_back(batch.claims);
+        self.outcomes.put_back(batch.records);
     }
 
     /// Takes the log as it was read, or `None` if it could not be read.
@@ -323,24 +289,25 @@
             return;
         }
         self.exchange = Exchange::None;
-        let Some(image) = image else {
-            self.retry_at = cx.now + RETRY_DELAY;
-            return self.answer_unknown();
-        };
-        self.merge(image);
-        self.settle(cx);
+        match image {
+            Some(image) => {
+                self.merge(image);
+                self.settle(cx);
+            }
+            None => {
+                self.pace.failed(cx.now);
+                // Without the log it cannot be told whether an earlier call with the key ran.
+                for wait in self.waiting.take_all() {
+                    self.verdicts.give(wait, &ClaimVerdict::Unknown);
+                }
+            }
+        }
     }
 
     /// Takes over what other owners have written, and finds in it what became of own writes.
     fn merge(&mut self, image: RangeImage) {
-        if self
-            .uncertain
-            .is_some_and(|expected| expected != image.version)
-        {
-            self.uncertain = None;
-            self.waiting
-                .iter_mut()
-                .for_each(|wait| wait.is_maybe_written = false);
+        if self.uncertain.is_some_and(|at| at != image.version) {
+            self.forget_uncertain();
         }
         for segment in &image.segments {
             self.table.apply(&segment.records);
@@ -349,9 +316,9 @@
         if self.uncertain.is_none() {
             // The log holds the others already, or the claim that they end was never written.
             let table = &self.table;
-            self.records.retain(|record| table.is_ended_by(record));
+            self.outcomes.retain(|record| table.is_ended_by(record));
         }
-        self.table.apply(&self.records);
+        self.table.apply(self.outcomes.iter());
         self.version = image.version;
         self.head = image.head;
         self.is_current = true;
@@ -360,10 +327,10 @@
 
     /// Answers each waiting claim about which the table says something.
     fn settle(&mut self, cx: &OwnerView<'_>) {
-        for wait in std::mem::take(&mut self.waiting) {
+        for wait in self.waiting.take_all() {
             match self.verdict_on(&wait.claim, cx) {
-                Some(verdict) => self.give(wait, &verdict),
-                None => self.waiting.push(wait),
+                Some(verdict) => self.verdicts.give(wait, &verdict),
+                None => self.waiting.keep(wait),
             }
         }
     }
@@ -387,70 +354,15 @@
         )
     }
 
-    /// Refuses a claim. "Not run" is said only if no write that holds it can take effect any more.
-    fn refuse(&mut self, wait: Waiting<W>) {
-        let verdict = match wait.is_maybe_written {
-            true => ClaimVerdict::Unknown,
-            false => ClaimVerdict::Unavailable,
-        };
-        self.give(wait, &verdict);
-    }
-
-    /// Without the log it cannot be told whether an earlier call with the same key ran.
-    fn answer_unknown(&mut self) {
-        for wait in std::mem::take(&mut self.waiting) {
-            self.give(wait, &ClaimVerdict::Unknown);
-        }
-    }
-
     fn expire(&mut self, now: Timestamp) {
-        let is_late = |wait: &mut Waiting<W>| now.since(wait.since) >= CLAIM_WAIT;
-        let late: Vec<Waiting<W>> = self.waiting.extract_if(.., is_late).collect();
-        for wait in late {
+        for wait in self.waiting.take_late(now) {
             match self.is_current {
-                true => self.refuse(wait),
-                false => self.give(wait, &ClaimVerdict::Unknown),
+                true => self.verdicts.refuse(wait),
+                false => self.verdicts.give(wait, &ClaimVerdict::Unknown),
             }
         }
     }
 
-    fn give(&mut self, wait: Waiting<W>, verdict: &ClaimVerdict) {
-        match verdict {
-            ClaimVerdict::Granted => self.counts.granted += 1,
-            _ => self.counts.refused += 1,
-        }
-        let given = wait
-            .waiters
-            .into_iter()
-            .map(|waiter| (waiter, verdict.clone()));
-        self.verdicts.extend(given);
-    }
-
-    /// When the next exchange may be due although nothing arrives.
-    pub fn wake_at(&self) -> Option<Timestamp> {
-        if !matches!(self.exchange, Exchange::None) {
-            return None;
-        }
-        let after = |last: Option<Timestamp>| {
-            last.map_or(Timestamp::default(), |last| last + COMMIT_INTERVAL)
-        };
-        let has_claims = !self.waiting.is_empty();
-        let has_records = !self.records.is_empty();
-        if !self.is_current {
-            let for_claims = has_claims.then(|| after(self.last_load));
-            let for_rest = (self.is_load_due || has_records).then_some(self.retry_at);
-            return for_claims.into_iter().chain(for_rest).min();
-        }
-        let slot = after(self.last_commit);
-        let ripe = (self.records_since + OUTCOME_DELAY).max(self.retry_at);
-        let for_records = has_records.then(|| slot.max(ripe));
-        has_claims
-            .then_some(slot)
-            .into_iter()
-            .chain(for_records)
-            .min()
-    }
-
     /// Whether the log was read and no later version is known of.
     pub fn is_current(&self) -> bool {
         self.is_current
@@ -458,13 +370,13 @@
 
     /// Verdicts since the last call.
     pub fn take_verdicts(&mut self) -> Vec<(W, ClaimVerdict)> {
-        std::mem::take(&mut self.verdicts)
+        self.verdicts.take()
     }
 
     /// Whether nothing waits, so that the range can be left to another owner.
     pub fn is_idle(&self) -> bool {
         let is_quiet = matches!(self.exchange, Exchange::None) && self.verdicts.is_empty();
-        is_quiet && self.waiting.is_empty() && self.records.is_empty()
+        is_quiet && self.waiting.is_empty() && self.outcomes.is_empty()
     }
 
     /// Claims that wait for a verdict.
@@ -478,7 +390,7 @@
 
     /// What was done so far.
     pub fn counts(&self) -> OwnerCounts {
-        self.counts
+        self.verdicts.counts
     }
 
     /// Claims that are held in memory.
@@ -486,12 +398,3 @@
         self.table.len()
     }
 }
-
-fn is_after_interval(last: Option<Timestamp>, now: Timestamp) -> bool {
-    last.is_none_or(|last| now >= last + COMMIT_INTERVAL)
-}
-
-fn drain_front<T>(items: &mut Vec<T>, most: usize) -> Vec<T> {
-    let rest = items.split_off(items.len().min(most));
-    std::mem::replace(items, rest)
-}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders/owner/verdicts.rs
@@ -0,0 +1,52 @@
+//! Verdicts on their way to those who asked.
+
+use super::step::OwnerCounts;
+use super::waiting::Waiting;
+use crate::message::ClaimVerdict;
+
+/// Verdicts that were not taken yet, and how many there have been.
+#[derive(Debug)]
+pub(super) struct Verdicts<W> {
+    given: Vec<(W, ClaimVerdict)>,
+    pub(super) counts: OwnerCounts,
+}
+
+impl<W> Verdicts<W> {
+    pub(super) fn new() -> Self {
+        Self {
+            given: Vec::new(),
+            counts: OwnerCounts::default(),
+        }
+    }
+
+    pub(super) fn give(&mut self, wait: Waiting<W>, verdict: &ClaimVerdict) {
+        for waiter in wait.waiters {
+            self.give_one(waiter, verdict.clone());
+        }
+    }
+
+    pub(super) fn give_one(&mut self, waiter: W, verdict: ClaimVerdict) {
+        match verdict {
+            ClaimVerdict::Granted => self.counts.granted += 1,
+            _ => self.counts.refused += 1,
+        }
+        self.given.push((waiter, verdict));
+    }
+
+    /// Refuses a claim. "Not run" is said only if no write that holds it can take effect any more.
+    pub(super) fn refuse(&mut self, wait: Waiting<W>) {
+        let verdict = match wait.is_maybe_written {
+            true => ClaimVerdict::Unknown,
+            false => ClaimVerdict::Unavailable,
+        };
+        self.give(wait, &verdict);
+    }
+
+    pub(super) fn take(&mut self) -> Vec<(W, ClaimVerdict)> {
+        std::mem::take(&mut self.given)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.given.is_empty()
+    }
+}
--- a/crates/lavenderhatch-decide/src/orders/owner/waiting.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner/waiting.rs
@@ -1,27 +1,128 @@
 //! Claims that wait for a verdict.
 
+use std::time::Duration;
+
 use lavenderhatch_core::Timestamp;
 
 use super::super::range_log::Attempt;
 use crate::message::{Claim, OutcomeRecord};
 
+/// Longest wait of a claim for a verdict.
+const CLAIM_WAIT: Duration = Duration::from_secs(10);
+/// Most claims in one commit. Keeps the head below the largest value of the platform.
+const MAX_BATCH: usize = 1000;
+
 /// A claim that waits for a verdict.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting<W> {
     pub(super) claim: Claim,
     /// Those who asked. More than one if the message arrived more than once.
     pub(super) waiters: Vec<W>,
-    pub(super) since: Timestamp,
+    since: Timestamp,
     /// Whether a write that holds the claim may have taken effect, or may still do so.
     pub(super) is_maybe_written: bool,
 }
 
 impl<W> Waiting<W> {
-    pub(super) fn is_same_attempt(&self, claim: &Claim) -> bool {
-        self.claim.key_hash == claim.key_hash && Attempt::of_claim(&self.claim).is_of(claim)
-    }
-
     pub(super) fn is_for(&self, record: &OutcomeRecord) -> bool {
         self.claim.key_hash == record.key_hash && Attempt::of_outcome(record).is_of(&self.claim)
     }
 }
+
+/// What became of a claim that was to join others.
+pub(super) enum Joined<W> {
+    /// The same claim waits already; the verdict goes to both.
+    Same,
+    /// Another attempt with the same key waits.
+    KeyTaken(W),
+    /// No claim with the same key waits.
+    None(W),
+}
+
+/// Claims in the order of their arrival. Invariant: at most one for each key.
+#[derive(Debug)]
+pub(super) struct WaitingList<W> {
+    claims: Vec<Waiting<W>>,
+}
+
+impl<W> WaitingList<W> {
+    pub(super) fn new() -> Self {
+        Self { claims: Vec::new() }
+    }
+
+    pub(super) fn join(&mut self, claim: &Claim, waiter: W) -> Joined<W> {
+        let mut claims = self.claims.iter_mut();
+        let present = claims.find(|present| present.claim.key_hash == claim.key_hash);
+        match present {
+            None => Joined::None(waiter),
+            Some(present) if Attempt::of_claim(&present.claim).is_of(claim) => {
+                present.waiters.push(waiter);
+                Joined::Same
+            }
+            Some(_) => Joined::KeyTaken(waiter),
+        }
+    }
+
+    pub(super) fn push(&mut self, claim: Claim, waiter: W, now: Timestamp) {
+        self.claims.push(Waiting {
+            claim,
+            waiters: vec![waiter],
+            since: now,
+            is_maybe_written: false,
+        });
+    }
+
+    pub(super) fn take_batch(&mut self) -> Self {
+        let claims = drain_front(&mut self.claims, MAX_BATCH);
+        Self { claims }
+    }
+
+    /// Takes back a batch that was not confirmed.
+    pub(super) fn put_back(&mut self, mut batch: Self) {
+        batch.claims.append(&mut self.claims);
+        self.claims = batch.claims;
+    }
+
+    pub(super) fn set_maybe_written(&mut self, is_maybe_written: bool) {
+        for wait in &mut self.claims {
+            wait.is_maybe_written = is_maybe_written;
+        }
+    }
+
+    /// Removes the claim that a record ends.
+    pub(super) fn take_ended(&mut self, record: &OutcomeRecord) -> Option<Waiting<W>> {
+        let at = self.claims.iter().position(|wait| wait.is_for(record))?;
+        Some(self.claims.remove(at))
+    }
+
+    /// Removes claims that have waited too long.
+    pub(super) fn take_late(&mut self, now: Timestamp) -> Vec<Waiting<W>> {
+        let is_late = |wait: &mut Waiting<W>| now.since(wait.since) >= CLAIM_WAIT;
+        self.claims.extract_if(.., is_late).collect()
+    }
+
+    pub(super) fn take_all(&mut self) -> Vec<Waiting<W>> {
+        std::mem::take(&mut self.claims)
+    }
+
+    pub(super) fn keep(&mut self, wait: Waiting<W>) {
+        self.claims.push(wait);
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting<W>> {
+        self.claims.iter()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+}
+
+pub(super) fn drain_front<T>(items: &mut Vec<T>, most: usize) -> Vec<T> {
+    let rest = items.split_off(items.len().min(most));
+    std::mem::replace(items, rest)
+}
--- a/crates/lavenderhatch-decide/tests/testsuite/orders/execution.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/execution.rs
@@ -96,12 +96,12 @@
     }
     let again = begin(&mut table, 0, later + 2);
     assert_ne!(again, Begin::Run);
-    if let Begin::Answer(recorded) = &again {
-        if let Ok(recorded) = &**recorded {
-            let is_whole = recorded.headers[0].value == "whole";
-            assert_eq!(is_whole, later == 1_000);
-            assert_eq!(recorded.body.len(), if is_whole { 1024 } else { 0 });
-        }
+    if let Begin::Answer(recorded) = &again
+        && let Ok(recorded) = &**recorded
+    {
+        let is_whole = recorded.headers[0].value == "whole";
+        assert_eq!(is_whole, later == 1_000);
+        assert_eq!(recorded.body.len(), if is_whole { 1024 } else { 0 });
     }
     assert_eq!(kind(again), expected);
 }
