Say unknown where no backend server has looked at an order's key

Cause: a daemon that had just started answered a repeated order with no-backend and not-run although the order had run before (test killed_executor_leaves_outcome_unknown failed in 2 of 14 runs of the suite at a load of 24 to 54). Change: a refusal before any backend server has looked at the key of an order is unknown.

--- a/crates/lavenderhatch-daemon/src/controller/order.rs
+++ b/crates/lavenderhatch-daemon/src/controller/order.rs
@@ -36,8 +36,9 @@
 /// Longest wait without anything to do.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// Times after which an outcome is sent again, because the message has no answer. The last one is
-/// longer than it takes to notice that an owner has failed.
-const RESEND_DELAYS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(6)];
+/// longer than an owner keeps an outcome before it writes it (4 s) and than it takes to notice that
+/// an owner has failed (4 s).
+const RESEND_DELAYS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(10)];
 /// Requests that are taken in before the ranges are looked at.
 const TAKE_AT_ONCE: usize = 256;
 
--- a/crates/lavenderhatch-daemon/src/request/order.rs
+++ b/crates/lavenderhatch-daemon/src/request/order.rs
@@ -1,5 +1,6 @@
 //! Orders on the path of a call.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use lavenderhatch_core::{Digest, Error, ErrorKind, Incarnation, MemberRecord, NodeId};
 use lavenderhatch_decide::message::{Claim, ClaimVerdict};
 use lavenderhatch_decide::orders::{
-    IssuedKey, KeyForm, OrderEnd, answer_to, key_hash, request_digest,
+    ISSUED_PREFIX, IssuedKey, KeyForm, OrderEnd, answer_to, key_hash, request_digest,
 };
 
 use super::backend::Backend;
@@ -90,8 +91,7 @@
             .try_send(OrderRequest::Begin(begin))
             .is_err()
         {
-            let message = "too many orders wait for their claims";
-            return Err(Err(Error::new(ErrorKind::Overloaded, message)));
+            return Err(Err(unconfirmed("too many orders wait for their claims")));
         }
         let mut permit = Permit {
             client: self,
@@ -178,6 +178,38 @@
     }
 }
 
+/// Whether a backend server has looked at an order.
+///
+/// A refusal by a backend server comes after its claim was granted or refused, and so speaks for
+/// all calls with the key. Without one, an earlier call with the same key may have run.
+#[derive(Debug, Default)]
+pub(super) struct Asked(Cell<bool>);
+
+impl Asked {
+    /// Notes that a backend server gave this result.
+    pub(super) fn note(&self, result: Result<CallAnswer, Error>) -> Result<CallAnswer, Error> {
+        self.0.set(true);
+        result
+    }
+
+    /// What the caller is told after the last attempt failed.
+    pub(super) fn refusal(&self, call: &StoredCall, err: Error) -> Error {
+        without_record(waits_for_claim(call) && !self.0.get(), err)
+    }
+}
+
+/// Turns "not run" into `unknown` if it was said without a look at the record of the order's key.
+/// Errors in the request itself stay, because they are the same for each call with the key.
+pub(super) fn without_record(is_keyed: bool, err: Error) -> Error {
+    match err.kind() {
+        ErrorKind::NoBackend | ErrorKind::NotReady if is_keyed => {
+            let message = format!("{}; ask again with the same key", err.message());
+            Error::new(ErrorKind::OutcomeUnknown, message)
+        }
+        _ => err,
+    }
+}
+
 /// Whether a request asks for a key.
 pub(super) fn is_key_request(req: &IncomingRequest<'_>) -> bool {
     req.method == "POST" && path_of(req.target) == KEYS_PATH
@@ -195,6 +227,12 @@
     )
 }
 
+/// Whether a call waits for the platform before it runs.
+pub(super) fn waits_for_claim(call: &StoredCall) -> bool {
+    let key = call.key.as_deref();
+    !call.is_idempotent && key.is_some_and(|key| !key.starts_with(ISSUED_PREFIX))
+}
+
 fn path_of(target: &str) -> &str {
     target.split_once('?').map_or(target, |(path, _)| path)
 }
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -14,7 +14,7 @@
 use lavenderhatch_decide::routing::choose;
 
 use super::backend::Backend;
-use super::order::{OrderClient, is_key_request, may_run_elsewhere};
+use super::order::{Asked, OrderClient, is_key_request, may_run_elsewhere, without_record};
 use crate::peer::{PeerError, PeerLinks};
 
 /// Most backend servers that are tried for one call.
@@ -95,7 +95,9 @@
     ) -> CallAnswer {
         let result = match is_key_request(req) {
             true => self.key_call(req),
-            false => self.store(req),
+            false => self
+                .store(req)
+                .map_err(|err| without_record(req.key.is_some(), err)),
         };
         let result = result.and_then(|call| match self.issued_key(&call)? {
             Some(key) => self.route_issued(&key, &call),
@@ -172,6 +174,7 @@
         let endpoints = self.board.endpoints.load();
         let endpoints = endpoints.of(&call.service);
         let mut excluded = Vec::new();
+        let asked = Asked::default();
         let mut last = Error::new(
             ErrorKind::NoBackend,
             format!("no backend server of service {} is known", call.service),
@@ -181,14 +184,14 @@
                 break;
             };
             let time_left = allowed.saturating_sub(start.elapsed());
-            match self.attempt(&endpoints[at], call, time_left) {
+            match self.attempt(&endpoints[at], call, time_left, &asked) {
                 Ok(answer) => return Ok(answer),
                 Err(err) if may_run_elsewhere(err.kind()) => last = err,
                 Err(err) => return Err(err),
             }
             excluded.push(at);
         }
-        Err(last)
+        Err(asked.refusal(call, last))
     }
 
     fn attempt(
@@ -196,12 +199,13 @@
         endpoint: &Endpoint,
         call: &Arc<StoredCall>,
         time_left: Duration,
+        asked: &Asked,
     ) -> Result<CallAnswer, Error> {
         let start = Instant::now();
         endpoint.counters.start();
         let result = match endpoint.node == self.own {
-            true => self.run_once(call, time_left),
-            false => self.run_there(endpoint.peer_addr, call, time_left),
+            true => asked.note(self.run_once(call, time_left)),
+            false => self.run_there(endpoint.peer_addr, call, time_left, asked),
         };
         endpoint
             .counters
@@ -228,8 +232,9 @@
         addr: SocketAddr,
         call: &Arc<StoredCall>,
         time_left: Duration,
+        asked: &Asked,
     ) -> Result<CallAnswer, Error> {
-        result_of(self.peers.carry(addr, call, time_left)?)
+        asked.note(result_of(self.peers.carry(addr, call, time_left)?))
     }
 }
 
--- a/crates/lavenderhatch-decide/src/orders/owner/outcomes.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner/outcomes.rs
@@ -7,8 +7,9 @@
 use super::super::range_log::LogRecord;
 use super::waiting::drain_front;
 
-/// Time that outcomes wait for a commit that holds claims.
-const OUTCOME_DELAY: Duration = Duration::from_secs(1);
+/// Time that outcomes wait for a commit that holds claims. Executors report an outcome again later,
+/// so that it is not lost with an owner that dies meanwhile.
+const OUTCOME_DELAY: Duration = Duration::from_secs(4);
 /// Most outcomes in one commit.
 const MAX_OUTCOMES: usize = 1000;
 
--- a/crates/lavenderhatch-decide/src/orders/owner/pace.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner/pace.rs
@@ -4,15 +4,19 @@
 
 use lavenderhatch_core::Timestamp;
 
-/// Least time between two commits of a range.
+/// Mean time between two commits of a range that has claims all the time.
 pub const COMMIT_INTERVAL: Duration = Duration::from_millis(250);
+/// How far a commit may come before its regular time after a quiet spell. Lets two commits follow
+/// each other at once, so that the second order of a range with few orders does not wait.
+const COMMIT_TOLERANCE: Duration = Duration::from_millis(250);
 /// Wait after a failed exchange before the next one that no claim asks for.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Times of the last exchanges of a range.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Pace {
-    last_commit: Option<Timestamp>,
+    /// Regular time of the next commit, as in the generic cell rate algorithm.
+    next_commit: Timestamp,
     last_load: Option<Timestamp>,
     /// When an exchange that no claim asks for may be made.
     pub(super) retry_at: Timestamp,
@@ -21,16 +25,18 @@
 impl Pace {
     /// When the next commit may be sent.
     pub(super) fn commit_slot(&self) -> Timestamp {
-        slot_after(self.last_commit)
+        let early = self.next_commit.as_millis();
+        Timestamp(early.saturating_sub(COMMIT_TOLERANCE.as_millis() as u64))
     }
 
     /// When the log may be read again.
     pub(super) fn load_slot(&self) -> Timestamp {
-        slot_after(self.last_load)
+        let last = self.last_load;
+        last.map_or(Timestamp::default(), |last| last + COMMIT_INTERVAL)
     }
 
     pub(super) fn commit_sent(&mut self, now: Timestamp) {
-        self.last_commit = Some(now);
+        self.next_commit = self.next_commit.max(now) + COMMIT_INTERVAL;
     }
 
     pub(super) fn load_sent(&mut self, now: Timestamp) {
@@ -41,7 +47,3 @@
         self.retry_at = now + RETRY_DELAY;
     }
 }
-
-fn slot_after(last: Option<Timestamp>) -> Timestamp {
-    last.map_or(Timestamp::default(), |last| last + COMMIT_INTERVAL)
-}
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -209,7 +209,8 @@
     assert_eq!(runs(&cluster, "lost"), 1);
 }
 
-/// Guards against a second run of an order whose executor died while it ran.
+/// Guards against a second run of an order whose executor died while it ran, and against "not run"
+/// from a daemon that does not know what became of the key.
 #[rstest]
 #[case::chosen(false)]
 #[case::issued(true)]
@@ -246,3 +247,20 @@
     assert_eq!(again.outcome, "unknown", "{}", again.body);
     assert_eq!(runs(&cluster, &key), 1);
 }
+
+/// Guards against "not run" for a key that may have run before, when no backend server can say.
+#[rstest]
+#[case::keyed(Some("order-1"), "outcome-unknown", "unknown")]
+#[case::without_key(None, "no-backend", "not-run")]
+fn order_that_nobody_can_run(
+    #[case] key: Option<&str>,
+    #[case] error: &str,
+    #[case] outcome: &str,
+) {
+    let cluster = Cluster::start(&["front"]);
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    let answer = post(cluster.nodes[0].caller_addr, "/orders", key, "one pallet");
+    assert_eq!(answer.error.as_deref(), Some(error), "{}", answer.body);
+    assert_eq!(answer.outcome, outcome);
+}
