Refuse with not-run only from an owner that knows the log

Cause: a daemon that is asked for a claim although it is not the owner, or that read the log before it became the owner, may have missed an earlier claim of the key. Change: such a daemon answers unknown.

--- a/crates/lavenderhatch-bench/src/bin/orders/state.rs
+++ b/crates/lavenderhatch-bench/src/bin/orders/state.rs
@@ -88,6 +88,7 @@
             now: Timestamp(self.now),
             retention: RETENTION,
             members: &self.members,
+            owned_since: Some(Timestamp::default()),
         };
         act(&mut self.owner, &view)
     }
--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod order;
 mod order_io;
+mod order_resends;
 mod platform_reader;
 
 pub(crate) use platform_reader::news_channel;
--- a/crates/lavenderhatch-daemon/src/controller/order.rs
+++ b/crates/lavenderhatch-daemon/src/controller/order.rs
@@ -1,7 +1,7 @@
 //! Keeps orders at most once: what this daemon runs, and the claim ranges that it owns. Writes the
 //! `claims` section.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,7 +23,8 @@
 
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
-use super::order_io::{self, IoDone, IoJob};
+use super::order_io::{self, IoDone, IoJob, IoResult};
+use super::order_resends::Resends;
 use crate::peer::{
     BeginOrder, BeginReply, FinishOrder, OrderRequest, PeerCommand, PeerLinks, Reply,
 };
@@ -35,10 +36,6 @@
 const OWNERSHIP_DELAY: Duration = Duration::from_secs(3);
 /// Longest wait without anything to do.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
-/// Times after which an outcome is sent again, because the message has no answer. The last one is
-/// longer than an owner keeps an outcome before it writes it (4 s) and than it takes to notice that
-/// an owner has failed (4 s).
-const RESEND_DELAYS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(10)];
 /// Requests that are taken in before the ranges are looked at.
 const TAKE_AT_ONCE: usize = 256;
 
@@ -103,8 +100,7 @@
     owned_since: BTreeMap<RangeId, Timestamp>,
     ranges: BTreeMap<RangeId, RangeOwner<Waiter>>,
     next_batch: u64,
-    /// One queue for each delay, oldest first.
-    resends: [VecDeque<(Timestamp, OutcomeRecord)>; RESEND_DELAYS.len()],
+    resends: Resends,
     jobs: Sender<IoJob>,
     /// Counts of ranges that were left to another owner.
     past: OwnerCounts,
@@ -119,7 +115,7 @@
             owned_since: BTreeMap::new(),
             ranges: BTreeMap::new(),
             next_batch: 0,
-            resends: Default::default(),
+            resends: Resends::default(),
             jobs,
             past: OwnerCounts::default(),
             cx,
@@ -211,14 +207,14 @@
     fn claim(&mut self, claim: Claim, waiter: Waiter) {
         let range = RangeId::of(&claim.key_hash);
         let members = Arc::clone(&self.members);
-        let view = self.view(&members);
+        let view = self.view(&members, range);
         self.range(range).claim(claim, waiter, &view);
     }
 
     fn record(&mut self, record: &OutcomeRecord) {
         let range = RangeId::of(&record.key_hash);
         let members = Arc::clone(&self.members);
-        let view = self.view(&members);
+        let view = self.view(&members, range);
         // A range that is not held here may hold the claim all the same, so its log is read.
         self.range(range).record(record, &view);
     }
@@ -237,26 +233,29 @@
         })
     }
 
-    fn view<'m>(&self, members: &'m Members) -> OwnerView<'m> {
+    fn view<'m>(&self, members: &'m Members, range: RangeId) -> OwnerView<'m> {
+        OwnerView {
+            now: Timestamp::from_system_clock(),
+            retention: self.retention(),
+            members,
+            owned_since: self.owned_since.get(&range).copied(),
+        }
+    }
+
+    fn retention(&self) -> Duration {
         let config = self.cx.config.load();
         let hours = config.as_ref().as_ref().map_or_else(
             || Limits::default().claim_retention_h,
             |config| config.mesh.limits().claim_retention_h,
         );
-        OwnerView {
-            now: Timestamp::from_system_clock(),
-            retention: Duration::from_secs(u64::from(hours) * 3600),
-            members,
-        }
+        Duration::from_secs(u64::from(hours) * 3600)
     }
 
     /// Reports an outcome to the owner of its range, now and again later.
     fn report(&mut self, record: OutcomeRecord) {
         let now = Timestamp::from_system_clock();
         self.deliver(&record);
-        for (queue, delay) in self.resends.iter_mut().zip(RESEND_DELAYS) {
-            queue.push_back((now + delay, record.clone()));
-        }
+        self.resends.push(record, now);
     }
 
     fn deliver(&mut self, record: &OutcomeRecord) {
@@ -269,33 +268,29 @@
         }
     }
 
-    fn resend(&mut self, now: Timestamp) {
-        for at in 0..self.resends.len() {
-            while let Some((due, _)) = self.resends[at].front() {
-                if *due > now {
-                    break;
-                }
-                if let Some((_, record)) = self.resends[at].pop_front() {
-                    self.deliver(&record);
-                }
-            }
-        }
-    }
-
     fn end_exchange(&mut self, end: IoDone) {
         let members = Arc::clone(&self.members);
-        let view = self.view(&members);
-        match end {
-            IoDone::Loaded(range, image) => self.range(range).loaded(image, &view),
-            IoDone::Committed(range, result) => self.range(range).committed(result, &view),
+        let view = self.view(&members, end.range);
+        let owner = self.range(end.range);
+        match end.result {
+            IoResult::Loaded(image) => owner.loaded(image, &view),
+            IoResult::Committed(result) => owner.committed(result, &view),
         }
     }
 
     /// Starts the exchanges that are due and gives the verdicts.
     fn advance(&mut self) {
-        let members = Arc::clone(&self.members);
-        let view = self.view(&members);
+        let view = OwnerView {
+            now: Timestamp::from_system_clock(),
+            retention: self.retention(),
+            members: &self.members,
+            owned_since: None,
+        };
         for (range, owner) in &mut self.ranges {
+            let view = OwnerView {
+                owned_since: self.owned_since.get(range).copied(),
+                ..view
+            };
             if let Some(step) = owner.next_step(&view) {
                 let range = *range;
                 // The threads end only after this controller.
@@ -315,7 +310,9 @@
             self.members = members;
         }
         self.update_owned(now);
-        self.resend(now);
+        while let Some(record) = self.resends.pop_due(now) {
+            self.deliver(&record);
+        }
         self.publish();
     }
 
@@ -338,9 +335,11 @@
             past,
             ..
         } = self;
-        // State that is kept without the ownership would grow outdated.
+        // State from before the ownership may lack claims of the owner of that time.
         ranges.retain(|range, owner| {
-            let is_kept = owned_since.contains_key(range) || !owner.is_idle();
+            let is_fresh = |since| owner.loaded_at() >= since || !owner.is_current();
+            let is_own = owned_since.get(range).copied().is_some_and(is_fresh);
+            let is_kept = is_own || !owner.is_idle();
             if !is_kept {
                 add(past, owner.counts());
             }
--- a/crates/lavenderhatch-daemon/src/controller/order_io.rs
+++ b/crates/lavenderhatch-daemon/src/controller/order_io.rs
@@ -26,9 +26,17 @@
 
 /// How an exchange ended.
 #[derive(Debug)]
-pub(super) enum IoDone {
-    Loaded(RangeId, Option<RangeImage>),
-    Committed(RangeId, CommitResult),
+pub(super) struct IoDone {
+    pub(super) range: RangeId,
+    pub(super) result: IoResult,
+}
+
+/// What an exchange gave.
+#[derive(Debug)]
+pub(super) enum IoResult {
+    /// The log; `None` if it could not be read.
+    Loaded(Option<RangeImage>),
+    Committed(CommitResult),
 }
 
 /// Starts the threads. They end when the sender of jobs is dropped.
@@ -53,11 +61,11 @@
 
 fn run<P: Platform>(platform: &P, jobs: &Receiver<IoJob>, done: &Sender<IoDone>) {
     for IoJob { range, step } in jobs {
-        let end = match step {
-            RangeStep::Load { held } => IoDone::Loaded(range, load(platform, range, &held)),
-            RangeStep::Commit(commit) => IoDone::Committed(range, write(platform, range, &commit)),
+        let result = match step {
+            RangeStep::Load { held } => IoResult::Loaded(load(platform, range, &held)),
+            RangeStep::Commit(commit) => IoResult::Committed(write(platform, range, &commit)),
         };
-        if done.send(end).is_err() {
+        if done.send(IoDone { range, result }).is_err() {
             return;
         }
     }
--- a/crates/lavenderhatch-decide/src/orders/owner.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner.rs
@@ -5,6 +5,7 @@
 //! because its own write was confirmed or because it read the log. Whether the node that runs this
 //! code is the rightful owner does not matter: a write against an outdated version has no effect.
 
+mod exchange;
 mod outcomes;
 mod pace;
 mod step;
@@ -13,6 +14,7 @@
 
 use lavenderhatch_core::{Incarnation, NodeId, Timestamp};
 
+use exchange::{Batch, Exchange};
 use outcomes::Outcomes;
 pub use pace::COMMIT_INTERVAL;
 use pace::Pace;
@@ -24,22 +26,6 @@
 use super::range_log::{Attempt, BatchId, Head, LogRecord, RangeImage, SEAL_RECORDS};
 use crate::message::{Claim, ClaimVerdict, OutcomeRecord};
 
-/// A commit under way.
-#[derive(Debug)]
-struct Batch<W> {
-    head: Head,
-    expected: Option<u64>,
-    claims: WaitingList<W>,
-    records: Vec<LogRecord>,
-}
-
-#[derive(Debug)]
-enum Exchange<W> {
-    None,
-    Loading,
-    Committing(Box<Batch<W>>),
-}
-
 /// One claim range on the daemon that commits its claims. `W` stands for whoever waits for a
 /// verdict.
 #[derive(Debug)]
@@ -55,6 +41,7 @@
     is_current: bool,
     /// Whether the log is to be read although no claim waits.
     is_load_due: bool,
+    loaded_at: Timestamp,
     exchange: Exchange<W>,
     waiting: WaitingList<W>,
     /// Invariant: applied to `table` while it is current.
@@ -81,6 +68,7 @@
             table: ClaimTable::default(),
             is_current: false,
             is_load_due: true,
+            loaded_at: Timestamp::default(),
             exchange: Exchange::None,
             waiting: WaitingList::new(),
             outcomes: Outcomes::default(),
@@ -123,7 +111,7 @@
             return;
         }
         if let Some(given_up) = self.waiting.take_ended(record) {
-            self.verdicts.refuse(given_up);
+            self.verdicts.refuse(given_up, false);
         }
         if self.table.is_open(&record.key_hash, &by) || self.may_appear(record) {
             let record = LogRecord::of_outcome(record);
@@ -134,19 +122,15 @@
 
     /// Whether the log may hold a claim of which the table says nothing.
     fn may_appear(&self, record: &OutcomeRecord) -> bool {
-        let is_committing = match &self.exchange {
-            Exchange::Committing(batch) => batch.claims.iter().any(|wait| wait.is_for(record)),
-            _ => false,
-        };
-        is_committing || !self.is_current || self.uncertain.is_some()
+        self.exchange.holds(record) || !self.is_current || self.uncertain.is_some()
     }
 
     /// The next exchange with the platform, if one is due.
     pub fn next_step(&mut self, cx: &OwnerView<'_>) -> Option<RangeStep> {
-        if !matches!(self.exchange, Exchange::None) {
+        if !self.exchange.is_none() {
             return None;
         }
-        self.expire(cx.now);
+        self.expire(cx);
         let is_due = self.wake_at().is_some_and(|at| cx.now >= at);
         is_due.then(|| match self.is_current {
             true => self.commit(cx),
@@ -156,7 +140,7 @@
 
     /// When the next exchange is due, if nothing arrives before.
     pub fn wake_at(&self) -> Option<Timestamp> {
-        if !matches!(self.exchange, Exchange::None) {
+        if !self.exchange.is_none() {
             return None;
         }
         let has_claims = !self.waiting.is_empty();
@@ -226,30 +210,28 @@
 
     /// Takes the end of a commit.
     pub fn committed(&mut self, result: CommitResult, cx: &OwnerView<'_>) {
-        let Exchange::Committing(batch) = std::mem::replace(&mut self.exchange, Exchange::None)
-        else {
+        let Some(mut batch) = self.exchange.take_batch() else {
             return;
         };
         match result {
-            CommitResult::Written(version) => self.written(*batch, version, cx),
-            CommitResult::RateLimited => self.put_back(*batch),
+            CommitResult::Written(version) => self.written(batch, version, cx),
+            CommitResult::RateLimited => self.put_back(batch),
             CommitResult::Conflict => {
                 self.verdicts.counts.conflicts += 1;
                 self.is_current = false;
-                self.put_back(*batch);
+                self.put_back(batch);
             }
             CommitResult::AnswerLost => {
                 self.is_current = false;
                 self.uncertain = Some(batch.expected);
-                let mut batch = *batch;
                 batch.claims.set_maybe_written(true);
                 self.put_back(batch);
             }
             CommitResult::Unavailable => {
                 self.pace.failed(cx.now);
-                let mut batch = *batch;
+                let is_log_known = self.is_log_known(cx);
                 for wait in batch.claims.take_all() {
-                    self.verdicts.refuse(wait);
+                    self.verdicts.refuse(wait, is_log_known);
                 }
                 self.put_back(batch);
             }
@@ -292,13 +274,13 @@
         match image {
             Some(image) => {
                 self.merge(image);
+                self.loaded_at = cx.now;
                 self.settle(cx);
             }
             None => {
                 self.pace.failed(cx.now);
-                // Without the log it cannot be told whether an earlier call with the key ran.
                 for wait in self.waiting.take_all() {
-                    self.verdicts.give(wait, &ClaimVerdict::Unknown);
+                    self.verdicts.refuse(wait, false);
                 }
             }
         }
@@ -354,20 +336,30 @@
         )
     }
 
-    fn expire(&mut self, now: Timestamp) {
-        for wait in self.waiting.take_late(now) {
-            match self.is_current {
-                true => self.verdicts.refuse(wait),
-                false => self.verdicts.give(wait, &ClaimVerdict::Unknown),
-            }
+    fn expire(&mut self, cx: &OwnerView<'_>) {
+        let is_log_known = self.is_log_known(cx);
+        for wait in self.waiting.take_late(cx.now) {
+            self.verdicts.refuse(wait, is_log_known);
         }
     }
 
+    /// Whether the table holds all claims, as far as an owner can know. A daemon that is asked
+    /// although it is not the owner may have missed those of the owner.
+    fn is_log_known(&self, cx: &OwnerView<'_>) -> bool {
+        let is_read = |since| self.loaded_at >= since;
+        self.is_current && cx.owned_since.is_some_and(is_read)
+    }
+
     /// Whether the log was read and no later version is known of.
     pub fn is_current(&self) -> bool {
         self.is_current
     }
 
+    /// When the log was read last.
+    pub fn loaded_at(&self) -> Timestamp {
+        self.loaded_at
+    }
+
     /// Verdicts since the last call.
     pub fn take_verdicts(&mut self) -> Vec<(W, ClaimVerdict)> {
         self.verdicts.take()
@@ -375,17 +367,13 @@
 
     /// Whether nothing waits, so that the range can be left to another owner.
     pub fn is_idle(&self) -> bool {
-        let is_quiet = matches!(self.exchange, Exchange::None) && self.verdicts.is_empty();
+        let is_quiet = self.exchange.is_none() && self.verdicts.is_empty();
         is_quiet && self.waiting.is_empty() && self.outcomes.is_empty()
     }
 
     /// Claims that wait for a verdict.
     pub fn pending(&self) -> usize {
-        let committing = match &self.exchange {
-            Exchange::Committing(batch) => batch.claims.len(),
-            _ => 0,
-        };
-        committing + self.waiting.len()
+        self.exchange.claims().map_or(0, WaitingList::len) + self.waiting.len()
     }
 
     /// What was done so far.
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders/owner/exchange.rs
@@ -0,0 +1,52 @@
+//! The exchange with the platform that is under way.
+
+use super::super::range_log::{Head, LogRecord};
+use super::waiting::WaitingList;
+use crate::message::OutcomeRecord;
+
+/// A commit under way.
+#[derive(Debug)]
+pub(super) struct Batch<W> {
+    pub(super) head: Head,
+    pub(super) expected: Option<u64>,
+    pub(super) claims: WaitingList<W>,
+    pub(super) records: Vec<LogRecord>,
+}
+
+#[derive(Debug)]
+pub(super) enum Exchange<W> {
+    None,
+    Loading,
+    Committing(Box<Batch<W>>),
+}
+
+impl<W> Exchange<W> {
+    pub(super) fn is_none(&self) -> bool {
+        matches!(self, Exchange::None)
+    }
+
+    /// Ends a commit and gives what it held.
+    pub(super) fn take_batch(&mut self) -> Option<Batch<W>> {
+        match std::mem::replace(self, Exchange::None) {
+            Exchange::Committing(batch) => Some(*batch),
+            other => {
+                *self = other;
+                None
+            }
+        }
+    }
+
+    /// Claims that are being written.
+    pub(super) fn claims(&self) -> Option<&WaitingList<W>> {
+        match self {
+            Exchange::Committing(batch) => Some(&batch.claims),
+            _ => None,
+        }
+    }
+
+    /// Whether the claim that a record ends is being written.
+    pub(super) fn holds(&self, record: &OutcomeRecord) -> bool {
+        let mut claims = self.claims().into_iter().flat_map(WaitingList::iter);
+        claims.any(|wait| wait.is_for(record))
+    }
+}
--- a/crates/lavenderhatch-decide/src/orders/owner/step.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner/step.rs
@@ -16,6 +16,8 @@
     pub retention: Duration,
     /// Known members.
     pub members: &'a Members,
+    /// Since when this daemon sees itself as the owner of the range; `None` if it does not.
+    pub owned_since: Option<Timestamp>,
 }
 
 impl OwnerView<'_> {
--- a/crates/lavenderhatch-decide/src/orders/owner/verdicts.rs
+++ b/crates/lavenderhatch-decide/src/orders/owner/verdicts.rs
@@ -33,11 +33,12 @@
         self.given.push((waiter, verdict));
     }
 
-    /// Refuses a claim. "Not run" is said only if no write that holds it can take effect any more.
-    pub(super) fn refuse(&mut self, wait: Waiting<W>) {
-        let verdict = match wait.is_maybe_written {
-            true => ClaimVerdict::Unknown,
-            false => ClaimVerdict::Unavailable,
+    /// Refuses a claim. "Not run" is said only if no write that holds it can take effect any more,
+    /// and if the log is known to hold no earlier claim of the key.
+    pub(super) fn refuse(&mut self, wait: Waiting<W>, is_log_known: bool) {
+        let verdict = match is_log_known && !wait.is_maybe_written {
+            true => ClaimVerdict::Unavailable,
+            false => ClaimVerdict::Unknown,
         };
         self.give(wait, &verdict);
     }
--- a/crates/lavenderhatch-decide/tests/testsuite/orders/owner.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/owner.rs
@@ -10,7 +10,7 @@
 };
 use lavenderhatch_decide::message::{Claim, ClaimVerdict, OutcomeRecord, RecordedOutcome};
 use lavenderhatch_decide::orders::{
-    CommitResult, OwnerView, RangeId, RangeOwner, RangeOwners, RangeStep, key_hash,
+    CommitResult, OwnerView, RangeId, RangeImage, RangeOwner, RangeOwners, RangeStep, key_hash,
 };
 use rstest::rstest;
 
@@ -74,6 +74,7 @@
     owner: RangeOwner<u64>,
     members: Members,
     now: u64,
+    owned_since: Option<u64>,
     writes: usize,
 }
 
@@ -84,6 +85,7 @@
             owner: RangeOwner::open(id, Incarnation(1), 0),
             members: members(&[("n1", MemberState::Serving), ("n2", MemberState::Failed)]),
             now: 1_000_000,
+            owned_since: Some(0),
             writes: 0,
         }
     }
@@ -93,6 +95,7 @@
             now: Timestamp(self.now),
             retention: RETENTION,
             members: &self.members,
+            owned_since: self.owned_since.map(Timestamp),
         };
         act(&mut self.owner, &view)
     }
@@ -205,14 +208,28 @@
     assert_eq!(subject.owner.take_verdicts(), [(1, expected)]);
 }
 
-/// Guards against "not run" from an owner that could not read whether the key ran before.
-#[test]
-fn owner_that_cannot_read_the_log_says_unknown() {
+/// Guards against "not run" from a daemon that may not know of an earlier call with the key: it
+/// could not read the log, is not the owner, or read the log before it became the owner.
+#[rstest]
+#[case::owner(true, Some(0), ClaimVerdict::Unavailable)]
+#[case::log_not_read(false, Some(0), ClaimVerdict::Unknown)]
+#[case::not_owner(true, None, ClaimVerdict::Unknown)]
+#[case::owner_after_reading(true, Some(1_000_100), ClaimVerdict::Unknown)]
+fn refusal_in_an_outage(
+    #[case] is_read: bool,
+    #[case] owned_since: Option<u64>,
+    #[case] expected: ClaimVerdict,
+) {
     let mut subject = Subject::new("n0");
+    subject.owned_since = owned_since;
     subject.ask(&claim("k", "n1", 1));
     assert!(matches!(subject.next_step(), Some(RangeStep::Load { .. })));
-    subject.act(|owner, cx| owner.loaded(None, cx));
-    assert_eq!(subject.owner.take_verdicts(), [(1, ClaimVerdict::Unknown)]);
+    let image = is_read.then(RangeImage::default);
+    subject.act(|owner, cx| owner.loaded(image, cx));
+    if subject.next_step().is_some() {
+        subject.act(|owner, cx| owner.committed(CommitResult::Unavailable, cx));
+    }
+    assert_eq!(subject.owner.take_verdicts(), [(1, expected)]);
 }
 
 /// Guards against more than four writes a second, and against a commit that outgrows the platform.
--- a/crates/lavenderhatch-decide/tests/testsuite/orders/simulation.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/simulation.rs
@@ -345,6 +345,7 @@
             now: Timestamp(self.now),
             retention: RETENTION,
             members: &self.members,
+            owned_since: self.is_usual_owner(node).then(Timestamp::default),
         };
         let owner = &mut self.nodes[node].owner;
         act(owner, &view);
@@ -467,13 +468,18 @@
 
     /// Daemons differ in whom they take for the owner.
     fn believed_owner(&mut self) -> usize {
-        let usual = (self.now / 10_000) as usize % NODES;
-        match self.random.is_hit(70) {
-            true => usual,
-            false => self.random.below(NODES as u64) as usize,
+        let any = self.random.below(NODES as u64) as usize;
+        let mut nodes = 0..NODES;
+        match nodes.find(|node| self.is_usual_owner(*node)) {
+            Some(usual) if self.random.is_hit(70) => usual,
+            _ => any,
         }
     }
 
+    fn is_usual_owner(&self, node: usize) -> bool {
+        node == (self.now / 10_000) as usize % NODES
+    }
+
     fn take_waiting(&mut self, (node, incarnation, attempt): Waiter) -> Option<usize> {
         let node = &mut self.nodes[node];
         (node.incarnation == incarnation).then(|| node.waiting.remove(&attempt))?
