--- a/crates/lavenderhatch-decide/tests/testsuite/orders.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders.rs
@@ -1,11 +1,13 @@
 //! Orders at most once.
 
 mod execution;
+mod members;
 mod owner;
 mod random;
 mod rule;
 mod simulation;
 mod store;
+mod world;
 
 use rstest::rstest;
 
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/world.rs
@@ -0,0 +1,86 @@
+//! What a simulation consists of.
+
+use std::collections::HashMap;
+
+use lavenderhatch_core::Digest;
+use lavenderhatch_core::call::CallAnswer;
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_decide::message::{Claim, ClaimVerdict, OutcomeRecord, RecordedOutcome};
+use lavenderhatch_decide::orders::{
+    CommitResult, ExecutionTable, RangeImage, RangeStep, recorded_answer,
+};
+
+use super::rule::Owner;
+
+/// A claim's way back: the executor, its incarnation and the attempt.
+pub(super) type Waiter = (usize, u64, u64);
+
+/// What happens next, at a node if the first field is a number.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    Call(usize, usize),
+    Claim(usize, Claim, Waiter),
+    Record(usize, OutcomeRecord),
+    Wake(usize),
+    Done(usize, u64, Done),
+    Verdict(Waiter, ClaimVerdict),
+    GiveUp(Waiter),
+    RunEnds(Waiter),
+    Land(Box<(usize, u64, RangeStep, bool)>),
+    Crash(usize),
+    Pause(usize, u64),
+    Outage(bool),
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Done {
+    Loaded(Option<RangeImage>),
+    Committed(CommitResult),
+}
+
+pub(super) struct Node {
+    pub(super) incarnation: u64,
+    pub(super) table: ExecutionTable,
+    pub(super) owner: Owner<Waiter>,
+    pub(super) next_attempt: u64,
+    /// Calls that wait for a verdict, by attempt.
+    pub(super) waiting: HashMap<u64, usize>,
+    /// Calls that a back end runs, by attempt.
+    pub(super) running: HashMap<u64, usize>,
+    pub(super) paused_until: u64,
+}
+
+pub(super) struct Call {
+    pub(super) key: u64,
+    pub(super) request: Digest,
+    pub(super) attempt: Option<Waiter>,
+    pub(super) has_run: bool,
+    pub(super) told: Option<Outcome>,
+}
+
+/// What a run has shown.
+pub(super) struct Report {
+    pub(super) faults: Vec<String>,
+    pub(super) keys: usize,
+    pub(super) keys_run: usize,
+}
+
+/// The daemon that a pause keeps from handling an event.
+pub(super) fn target(event: &Event) -> Option<usize> {
+    match event {
+        Event::Call(_, node) | Event::Claim(node, ..) | Event::Record(node, _) => Some(*node),
+        Event::Done(node, ..) | Event::Wake(node) => Some(*node),
+        Event::Verdict(waiter, _) | Event::GiveUp(waiter) => Some(waiter.0),
+        _ => None,
+    }
+}
+
+/// What the back end answers to the order of a key.
+pub(super) fn answer_of(key: u64) -> CallAnswer {
+    let mut answer = recorded_answer(&RecordedOutcome {
+        status: 200 + key as u16,
+        body_digest: Digest::of(b""),
+    });
+    answer.headers.clear();
+    answer
+}
