--- a/crates/lavenderhatch-daemon/src/request.rs
+++ b/crates/lavenderhatch-daemon/src/request.rs
@@ -8,6 +8,7 @@
 mod caller_port;
 mod carry;
 mod order;
+mod order_keys;
 mod path;
 
 pub use backend::{Backend, HttpBackend};
--- a/crates/lavenderhatch-daemon/src/request/order.rs
+++ b/crates/lavenderhatch-daemon/src/request/order.rs
@@ -6,8 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Sender, bounded};
-use lavenderhatch_core::call::{CallAnswer, Header, StoredCall};
-use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
 use lavenderhatch_core::{Digest, Error, ErrorKind, Incarnation, MemberRecord, NodeId};
 use lavenderhatch_decide::message::{Claim, ClaimVerdict};
 use lavenderhatch_decide::orders::{
@@ -15,12 +14,10 @@
 };
 
 use super::backend::Backend;
-use super::path::{IncomingRequest, PeerCaller, RequestPath, result_of};
+use super::order_keys::asks_for_key;
+use super::path::{PeerCaller, RequestPath, result_of};
 use crate::peer::{BeginOrder, BeginReply, FinishOrder, OrderRequest, PeerError, PeerLinks};
 
-/// Where callers ask for a key.
-const KEYS_PATH: &str = "/.well-known/lavenderhatch/keys";
-
 /// The request path's end of the order controller.
 #[derive(Debug)]
 pub struct OrderClient {
@@ -56,7 +53,7 @@
         Arc::clone(&self.issued)
     }
 
-    fn issue(&self) -> IssuedKey {
+    pub(super) fn issue(&self) -> IssuedKey {
         IssuedKey {
             node: self.node.clone(),
             incarnation: self.incarnation,
@@ -210,11 +207,6 @@
     }
 }
 
-/// Whether a request asks for a key.
-pub(super) fn is_key_request(req: &IncomingRequest<'_>) -> bool {
-    req.method == "POST" && path_of(req.target) == KEYS_PATH
-}
-
 /// Whether another backend server may run a call that ended in this error.
 pub(super) fn may_run_elsewhere(kind: ErrorKind) -> bool {
     matches!(
@@ -233,10 +225,6 @@
     !call.is_idempotent && key.is_some_and(|key| !key.starts_with(ISSUED_PREFIX))
 }
 
-fn path_of(target: &str) -> &str {
-    target.split_once('?').map_or(target, |(path, _)| path)
-}
-
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
     /// Runs a call on this backend server; an order with a key runs at most once.
     pub(super) fn run_once(
@@ -244,7 +232,7 @@
         call: &StoredCall,
         time_left: Duration,
     ) -> Result<CallAnswer, Error> {
-        if call.method == "POST" && path_of(&call.target) == KEYS_PATH {
+        if asks_for_key(&call.method, &call.target) {
             return self.issue_key(call);
         }
         let Some(key) = call.key.as_deref().filter(|_| !call.is_idempotent) else {
@@ -282,7 +270,7 @@
 
     /// An issued key works for the service of the daemon that issued it, because no other back end
     /// may run the order.
-    fn check_service(&self, node: &NodeId, call: &StoredCall) -> Result<(), Error> {
+    pub(super) fn check_service(&self, node: &NodeId, call: &StoredCall) -> Result<(), Error> {
         let members = self.board.members.load();
         let record = members.get(node.as_str());
         match record.is_some_and(|record| record.service.as_str() == call.service) {
@@ -325,70 +313,6 @@
             Err(err) => Err(err.into()),
         }
     }
-
-    /// A call that asks a backend server of a route's service for a key.
-    pub(super) fn key_call(&self, req: &IncomingRequest<'_>) -> Result<Arc<StoredCall>, Error> {
-        let config = self.board.config.load();
-        let Some(config) = config.as_ref() else {
-            let message = "no configuration is in force yet";
-            return Err(Error::new(ErrorKind::NotReady, message));
-        };
-        let query = req.target.split_once('?').map_or("", |(_, query)| query);
-        let name = query
-            .split('&')
-            .find_map(|pair| pair.strip_prefix("route="));
-        let Some(name) = name else {
-            let message = "name the route: POST /.well-known/lavenderhatch/keys?route=NAME";
-            return Err(Error::new(ErrorKind::BadRequest, message));
-        };
-        let mut routes = config.mesh.routes().iter();
-        let Some((_, route)) = routes.find(|(known, _)| known.as_str() == name) else {
-            return Err(Error::new(ErrorKind::NoRoute, format!("no route {name}")));
-        };
-        if route.idempotent {
-            let message = format!("route {name} is idempotent and needs no key");
-            return Err(Error::new(ErrorKind::BadRequest, message));
-        }
-        let time_left = req
-            .deadline
-            .map_or(route.timeout(), |left| left.min(route.timeout()));
-        Ok(Arc::new(StoredCall {
-            id: req
-                .call_id
-                .map_or_else(|| self.new_call_id(), str::to_owned),
-            method: req.method.to_owned(),
-            target: req.target.to_owned(),
-            route: name.to_owned(),
-            rank: route.rank.to_string(),
-            service: route.service.to_string(),
-            headers: Vec::new(),
-            body: Vec::new(),
-            key: None,
-            is_idempotent: true,
-            time_left_ms: time_left.as_millis() as u64,
-            depth: req.depth.saturating_add(1),
-        }))
-    }
-
-    fn issue_key(&self, call: &StoredCall) -> Result<CallAnswer, Error> {
-        if self.board.drains.load().is_leaving() {
-            let message = format!("{} is leaving", self.own);
-            return Err(Error::new(ErrorKind::Leaving, message));
-        }
-        self.check_service(&self.own, call)?;
-        Ok(CallAnswer {
-            status: 200,
-            headers: vec![Header {
-                name: "content-type".to_owned(),
-                value: "text/plain".to_owned(),
-            }],
-            body: self.orders.issue().to_string().into_bytes(),
-            outcome: Outcome::Ran,
-            error: None,
-            retry_after_ms: None,
-            is_retry_exhausted: false,
-        })
-    }
 }
 
 fn parse_key(key: &str) -> Result<Option<IssuedKey>, Error> {
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/order_keys.rs
@@ -0,0 +1,85 @@
+//! Keys that callers ask for.
+
+use std::sync::Arc;
+
+use lavenderhatch_core::call::{CallAnswer, Header, StoredCall};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{Error, ErrorKind};
+
+use super::backend::Backend;
+use super::path::{IncomingRequest, PeerCaller, RequestPath};
+
+/// Where callers ask for a key.
+const KEYS_PATH: &str = "/.well-known/lavenderhatch/keys";
+
+/// Whether a request asks for a key.
+pub(super) fn asks_for_key(method: &str, target: &str) -> bool {
+    let path = target.split_once('?').map_or(target, |(path, _)| path);
+    method == "POST" && path == KEYS_PATH
+}
+
+impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
+    /// A call that asks a backend server of a route's service for a key.
+    pub(super) fn key_call(&self, req: &IncomingRequest<'_>) -> Result<Arc<StoredCall>, Error> {
+        let config = self.board.config.load();
+        let Some(config) = config.as_ref() else {
+            let message = "no configuration is in force yet";
+            return Err(Error::new(ErrorKind::NotReady, message));
+        };
+        let query = req.target.split_once('?').map_or("", |(_, query)| query);
+        let name = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("route="));
+        let Some(name) = name else {
+            let message = "name the route: POST /.well-known/lavenderhatch/keys?route=NAME";
+            return Err(Error::new(ErrorKind::BadRequest, message));
+        };
+        let mut routes = config.mesh.routes().iter();
+        let Some((_, route)) = routes.find(|(known, _)| known.as_str() == name) else {
+            return Err(Error::new(ErrorKind::NoRoute, format!("no route {name}")));
+        };
+        if route.idempotent {
+            let message = format!("route {name} is idempotent and needs no key");
+            return Err(Error::new(ErrorKind::BadRequest, message));
+        }
+        let time_left = req
+            .deadline
+            .map_or(route.timeout(), |left| left.min(route.timeout()));
+        Ok(Arc::new(StoredCall {
+            id: req
+                .call_id
+                .map_or_else(|| self.new_call_id(), str::to_owned),
+            method: req.method.to_owned(),
+            target: req.target.to_owned(),
+            route: name.to_owned(),
+            rank: route.rank.to_string(),
+            service: route.service.to_string(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            key: None,
+            is_idempotent: true,
+            time_left_ms: time_left.as_millis() as u64,
+            depth: req.depth.saturating_add(1),
+        }))
+    }
+
+    pub(super) fn issue_key(&self, call: &StoredCall) -> Result<CallAnswer, Error> {
+        if self.board.drains.load().is_leaving() {
+            let message = format!("{} is leaving", self.own);
+            return Err(Error::new(ErrorKind::Leaving, message));
+        }
+        self.check_service(&self.own, call)?;
+        Ok(CallAnswer {
+            status: 200,
+            headers: vec![Header {
+                name: "content-type".to_owned(),
+                value: "text/plain".to_owned(),
+            }],
+            body: self.orders.issue().to_string().into_bytes(),
+            outcome: Outcome::Ran,
+            error: None,
+            retry_after_ms: None,
+            is_retry_exhausted: false,
+        })
+    }
+}
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -14,7 +14,8 @@
 use lavenderhatch_decide::routing::choose;
 
 use super::backend::Backend;
-use super::order::{Asked, OrderClient, is_key_request, may_run_elsewhere, without_record};
+use super::order::{Asked, OrderClient, may_run_elsewhere, without_record};
+use super::order_keys::asks_for_key;
 use crate::peer::{PeerError, PeerLinks};
 
 /// Most backend servers that are tried for one call.
@@ -93,7 +94,7 @@
         req: &IncomingRequest<'_>,
         random: &mut impl FnMut() -> u64,
     ) -> CallAnswer {
-        let result = match is_key_request(req) {
+        let result = match asks_for_key(req.method, req.target) {
             true => self.key_call(req),
             false => self
                 .store(req)
--- a/crates/lavenderhatch-decide/tests/testsuite/orders.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders.rs
@@ -12,7 +12,8 @@
 use rstest::rstest;
 
 use rule::SeededFault;
-use simulation::{Report, Simulation};
+use simulation::Simulation;
+use world::Report;
 
 /// Runs that are tried for each case.
 const SEEDS: u64 = 2000;
