--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -8,6 +8,9 @@
 mod endpoint;
 mod handle;
 mod membership;
+mod order;
+mod order_io;
+mod order_resends;
 mod platform_reader;
 mod stop;
 
@@ -18,5 +21,6 @@
 pub use endpoint::EndpointController;
 pub use handle::ControllerHandle;
 pub use membership::MembershipController;
+pub use order::OrderController;
 pub use platform_reader::{PlatformReader, RootNews};
 pub use stop::{LeaveSender, StopController};
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -16,6 +16,8 @@
 use lavenderhatch_decide::routing::choose;
 
 use super::backend::Backend;
+use super::order::{Asked, OrderClient, may_run_elsewhere, without_record};
+use super::order_keys::asks_for_key;
 use crate::peer::{PeerError, PeerLinks};
 
 /// Most backend servers that are tried for one call.
@@ -67,23 +69,25 @@
 /// The path of a call on this daemon.
 #[derive(Debug)]
 pub struct RequestPath<B, L> {
-    own: NodeId,
-    board: Blackboard,
+    pub(super) own: NodeId,
+    pub(super) board: Blackboard,
     in_flight: Arc<InFlight>,
     backend: B,
-    peers: L,
+    pub(super) peers: L,
+    pub(super) orders: OrderClient,
     next_call: AtomicU64,
 }
 
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
     /// The path of calls on the daemon named `own`.
-    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L) -> Self {
+    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L, orders: OrderClient) -> Self {
         Self {
             own,
             in_flight: Arc::clone(&board.drains.load().in_flight),
             board,
             backend,
             peers,
+            orders,
             next_call: AtomicU64::new(1),
         }
     }
@@ -101,7 +105,16 @@
         req: &IncomingRequest<'_>,
         random: &mut impl FnMut() -> u64,
     ) -> CallAnswer {
-        let result = self.store(req).and_then(|call| self.route(&call, random));
+        let result = match asks_for_key(req.method, req.target) {
+            true => self.key_call(req),
+            false => self
+                .store(req)
+                .map_err(|err| without_record(req.key.is_some(), err)),
+        };
+        let result = result.and_then(|call| match self.issued_key(&call)? {
+            Some(key) => self.route_issued(&key, &call),
+            None => self.route(&call, random),
+        });
         result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
     }
 
@@ -110,7 +123,7 @@
         let time_left = Duration::from_millis(call.time_left_ms);
         // Before a configuration is in force, this daemon does not know its own planned stops.
         let result = match self.board.config.load().is_some() {
-            true => self.run_here(call, time_left),
+            true => self.run_once(call, time_left),
             false => Err(not_ready()),
         };
         result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
@@ -159,7 +172,7 @@
         }))
     }
 
-    fn new_call_id(&self) -> String {
+    pub(super) fn new_call_id(&self) -> String {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         format!("{}-{number:x}", self.own)
     }
@@ -175,6 +188,7 @@
         let endpoints = self.board.endpoints.load();
         let endpoints = endpoints.of(&call.service);
         let mut excluded = Vec::new();
+        let asked = Asked::default();
         let mut last = Error::new(
             ErrorKind::NoBackend,
             format!("no backend server of service {} is known", call.service),
@@ -185,9 +199,9 @@
                 break;
             };
             let time_left = allowed.saturating_sub(start.elapsed());
-            match self.attempt(&endpoints[at], call, time_left) {
+            match self.attempt(&endpoints[at], call, time_left, &asked) {
                 Ok(answer) => return Ok(answer),
-                Err(err) if err.kind().is_not_run() => {
+                Err(err) if may_run_elsewhere(err.kind()) => {
                     // A server that leaves does no work for the refusal, and several may leave at
                     // the same time.
                     attempts += usize::from(err.kind() != ErrorKind::Leaving);
@@ -197,7 +211,7 @@
             }
             excluded.push(at);
         }
-        Err(last)
+        Err(asked.refusal(call, last))
     }
 
     fn attempt(
@@ -205,12 +219,13 @@
         endpoint: &Endpoint,
         call: &Arc<StoredCall>,
         time_left: Duration,
+        asked: &Asked,
     ) -> Result<CallAnswer, Error> {
         let start = Instant::now();
         endpoint.counters.start();
         let result = match endpoint.node == self.own {
-            true => self.run_here(call, time_left),
-            false => self.run_there(endpoint.peer_addr, call, time_left),
+            true => asked.note(self.run_once(call, time_left)),
+            false => self.run_there(endpoint.peer_addr, call, time_left, asked),
         };
         let is_failure = match &result {
             Ok(answer) => counts_as_failure(answer.status, answer.error),
@@ -222,7 +237,11 @@
         result
     }
 
-    fn run_here(&self, call: &StoredCall, time_left: Duration) -> Result<CallAnswer, Error> {
+    pub(super) fn run_here(
+        &self,
+        call: &StoredCall,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
         if self.board.drains.load().is_leaving() {
             return Err(self.leaving());
         }
@@ -238,20 +257,25 @@
         addr: SocketAddr,
         call: &Arc<StoredCall>,
         time_left: Duration,
+        asked: &Asked,
     ) -> Result<CallAnswer, Error> {
-        let answer = self.peers.carry(addr, call, time_left)?;
-        match answer.error {
-            Some(kind) => {
-                let message = String::from_utf8_lossy(&answer.body);
-                let prefix = format!("{kind}: ");
-                let message = message.trim_end();
-                Err(Error::new(
-                    kind,
-                    message.strip_prefix(&prefix).unwrap_or(message),
-                ))
-            }
-            None => Ok(answer),
+        asked.note(result_of(self.peers.carry(addr, call, time_left)?))
+    }
+}
+
+/// The result that a peer has made an answer of.
+pub(super) fn result_of(answer: CallAnswer) -> Result<CallAnswer, Error> {
+    match answer.error {
+        Some(kind) => {
+            let message = String::from_utf8_lossy(&answer.body);
+            let prefix = format!("{kind}: ");
+            let message = message.trim_end();
+            Err(Error::new(
+                kind,
+                message.strip_prefix(&prefix).unwrap_or(message),
+            ))
         }
+        None => Ok(answer),
     }
 }
 
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -5,16 +5,20 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use crossbeam::channel::bounded;
 use lavenderhatch_core::blackboard::{Blackboard, Writers};
 use lavenderhatch_core::call::{CallAnswer, CallView, StoredCall};
 use lavenderhatch_core::drain::{Drains, LeaveReason};
 use lavenderhatch_core::endpoint::{Endpoint, Endpoints, FULL_WEIGHT};
 use lavenderhatch_core::error_kind::Outcome;
 use lavenderhatch_core::{
-    ConfigSnapshot, Error, ErrorKind, Incarnation, Mesh, NodeId, Timestamp, Version, Zone,
+    ConfigSnapshot, Error, ErrorKind, Incarnation, MemberRecord, MemberState, Mesh, NodeId, Region,
+    ServiceName, Timestamp, Version, Zone,
+};
+use lavenderhatch_daemon::peer::{PeerError, PeerLinks};
+use lavenderhatch_daemon::request::{
+    Backend, IncomingRequest, OrderClient, PeerCaller, RequestPath,
 };
-use lavenderhatch_daemon::peer::PeerError;
-use lavenderhatch_daemon::request::{Backend, IncomingRequest, PeerCaller, RequestPath};
 use lavenderhatch_files::{Source, parse_mesh};
 use rstest::rstest;
 
@@ -95,10 +99,30 @@
     writers.endpoints.publish(endpoints);
     let own = NodeId::new("n0").unwrap();
     let calls = AtomicU32::new(0);
-    let path = RequestPath::new(own, board.clone(), Here, There { refusals, calls });
+    let there = There { refusals, calls };
+    let path = RequestPath::new(own, board.clone(), Here, there, orders());
     (path, board, writers)
 }
 
+/// No order here has a key, so that nothing is asked of the order controller.
+fn orders() -> OrderClient {
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let record = MemberRecord {
+        id: NodeId::new("n0").unwrap(),
+        incarnation: Incarnation(1),
+        seq: 1,
+        zone: Zone::new("zone-a").unwrap(),
+        region: Region::new("region-1").unwrap(),
+        service: ServiceName::new("orders").unwrap(),
+        peer_addr: addr,
+        admin_addr: addr,
+        slots: 12,
+        state: MemberState::Serving,
+    };
+    let (controller, _) = bounded(1);
+    OrderClient::new(&record, controller, PeerLinks::spawn(1).unwrap())
+}
+
 fn leave(writers: &Writers) {
     let in_flight = Arc::clone(&writers.drains.load().in_flight);
     writers.drains.publish(Drains {
--- a/crates/lavenderhatch-daemon/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
-//! Tests of parts of the daemon without sockets.
+//! Tests of the daemon's parts.
 
 #![allow(clippy::unwrap_used)]
 
+mod backend;
 mod leaving;
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`stops`]: when a backend server leaves for a planned stop or a signal.
 //! - [`endpoints`]: which backend servers may be chosen, and with which weight.
 //! - [`routing`]: which backend server runs a call.
+//! - [`orders`]: how an order runs at most once.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
 pub mod distribution;
 pub mod endpoints;
 pub mod message;
+pub mod orders;
 pub mod routing;
 pub mod stops;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/orders/owner.rs
@@ -0,0 +1,388 @@
+//! The owner of a claim range: group commit as a state machine.
+//!
+//! The owner asks for one exchange with the platform at a time ([`RangeOwner::next_step`]), is told
+//! how it ended, and gives verdicts. It grants a claim only after it has seen it in the log, either
+//! because its own write was confirmed or because it read the log. Whether the node that runs this
+//! code is the rightful owner does not matter: a write against an outdated version has no effect.
+
+mod exchange;
+mod outcomes;
+mod pace;
+mod step;
+mod verdicts;
+mod waiting;
+
+use lavenderhatch_core::{Incarnation, NodeId, Timestamp};
+
+use exchange::{Batch, Exchange};
+use outcomes::Outcomes;
+pub use pace::COMMIT_INTERVAL;
+use pace::Pace;
+pub use step::{Commit, CommitResult, OwnerCounts, OwnerView, RangeStep};
+use verdicts::Verdicts;
+use waiting::{Joined, WaitingList};
+
+use super::claim_table::ClaimTable;
+use super::range_log::{Attempt, BatchId, Head, LogRecord, RangeImage, SEAL_RECORDS};
+use crate::message::{Claim, ClaimVerdict, OutcomeRecord};
+
+/// One claim range on the daemon that commits its claims. `W` stands for whoever waits for a
+/// verdict.
+#[derive(Debug)]
+pub struct RangeOwner<W> {
+    node: NodeId,
+    incarnation: Incarnation,
+    next_batch: u64,
+    seal_after: usize,
+    version: Option<u64>,
+    head: Head,
+    table: ClaimTable,
+    /// Whether head and table are those of `version`, and no later version is known of.
+    is_current: bool,
+    /// Whether the log is to be read although no claim waits.
+    is_load_due: bool,
+    loaded_at: Timestamp,
+    exchange: Exchange<W>,
+    waiting: WaitingList<W>,
+    /// Invariant: applied to `table` while it is current.
+    outcomes: Outcomes,
+    /// Version against which a write was sent whose answer was lost. Until the head has another
+    /// version, that write may still take effect.
+    uncertain: Option<Option<u64>>,
+    pace: Pace,
+    verdicts: Verdicts<W>,
+}
+
+impl<W> RangeOwner<W> {
+    /// A range whose log was not read yet, on this incarnation of `node`. Asks to read it.
+    ///
+    /// `first_batch` must be greater than the number of each batch of this incarnation before.
+    pub fn open(node: NodeId, incarnation: Incarnation, first_batch: u64) -> Self {
+        Self {
+            node,
+            incarnation,
+            next_batch: first_batch,
+            seal_after: SEAL_RECORDS,
+            version: None,
+            head: Head::default(),
+            table: ClaimTable::default(),
+            is_current: false,
+            is_load_due: true,
+            loaded_at: Timestamp::default(),
+            exchange: Exchange::None,
+            waiting: WaitingList::new(),
+            outcomes: Outcomes::default(),
+            uncertain: None,
+            pace: Pace::default(),
+            verdicts: Verdicts::new(),
+        }
+    }
+
+    /// Seals the head at this number of records instead of the default.
+    pub fn seal_after(mut self, records: usize) -> Self {
+        self.seal_after = records;
+        self
+    }
+
+    /// Takes a claim.
+    pub fn claim(&mut self, claim: Claim, waiter: W, cx: &OwnerView<'_>) {
+        let joined = match &mut self.exchange {
+            Exchange::Committing(batch) => batch.claims.join(&claim, waiter),
+            _ => Joined::None(waiter),
+        };
+        let joined = match joined {
+            Joined::None(waiter) => self.waiting.join(&claim, waiter),
+            joined => joined,
+        };
+        match joined {
+            Joined::Same => {}
+            Joined::KeyTaken(waiter) => self.verdicts.give_one(waiter, ClaimVerdict::InFlight),
+            Joined::None(waiter) => match self.verdict_on(&claim, cx) {
+                Some(verdict) if self.is_current => self.verdicts.give_one(waiter, verdict),
+                _ => self.waiting.push(claim, waiter, cx.now),
+            },
+        }
+    }
+
+    /// Takes what became of a granted claim.
+    pub fn record(&mut self, record: &OutcomeRecord, cx: &OwnerView<'_>) {
+        let by = Attempt::of_outcome(record);
+        if self.table.has_outcome(&record.key_hash, &by) {
+            return;
+        }
+        if let Some(given_up) = self.waiting.take_ended(record) {
+            self.verdicts.refuse(given_up, false);
+        }
+        if self.table.is_open(&record.key_hash, &by) || self.may_appear(record) {
+            let record = LogRecord::of_outcome(record);
+            self.table.apply([&record]);
+            self.outcomes.push(record, cx.now);
+        }
+    }
+
+    /// Whether the log may hold a claim of which the table says nothing.
+    fn may_appear(&self, record: &OutcomeRecord) -> bool {
+        self.exchange.holds(record) || !self.is_current || self.uncertain.is_some()
+    }
+
+    /// The next exchange with the platform, if one is due.
+    pub fn next_step(&mut self, cx: &OwnerView<'_>) -> Option<RangeStep> {
+        if !self.exchange.is_none() {
+            return None;
+        }
+        self.expire(cx);
+        let is_due = self.wake_at().is_some_and(|at| cx.now >= at);
+        is_due.then(|| match self.is_current {
+            true => self.commit(cx),
+            false => self.load(cx.now),
+        })
+    }
+
+    /// When the next exchange is due, if nothing arrives before.
+    pub fn wake_at(&self) -> Option<Timestamp> {
+        if !self.exchange.is_none() {
+            return None;
+        }
+        let has_claims = !self.waiting.is_empty();
+        if !self.is_current {
+            let is_wanted = self.is_load_due || !self.outcomes.is_empty();
+            let for_claims = has_claims.then(|| self.pace.load_slot());
+            let for_rest = is_wanted.then_some(self.pace.retry_at);
+            return for_claims.into_iter().chain(for_rest).min();
+        }
+        let slot = self.pace.commit_slot();
+        let due = self.outcomes.due_at();
+        let for_outcomes = due.map(|due| due.max(self.pace.retry_at).max(slot));
+        let for_claims = has_claims.then_some(slot);
+        for_claims.into_iter().chain(for_outcomes).min()
+    }
+
+    fn load(&mut self, now: Timestamp) -> RangeStep {
+        self.pace.load_sent(now);
+        self.exchange = Exchange::Loading;
+        let held = self.head.segments.iter();
+        RangeStep::Load {
+            held: held.map(|segment| segment.name.clone()).collect(),
+        }
+    }
+
+    fn commit(&mut self, cx: &OwnerView<'_>) -> RangeStep {
+        self.pace.commit_sent(cx.now);
+        let id = self.new_batch();
+        let mut head = self.head.clone();
+        let oldest = cx.now.since(Timestamp::default() + cx.retention);
+        let dropped = head.drop_segments(Timestamp::default() + oldest);
+        if !dropped.is_empty() {
+            self.table.forget(cx.now, cx.retention);
+        }
+        let archive = head.seal(&id, cx.now, self.seal_after);
+        head.push_batch(id);
+        let records = self.outcomes.take_batch();
+        let claims = self.waiting.take_batch();
+        let claimed = |claim| LogRecord::of_claim(claim, cx.now);
+        head.records.extend(records.iter().cloned());
+        head.records
+            .extend(claims.iter().map(|wait| claimed(&wait.claim)));
+        let commit = Commit {
+            archive,
+            head: head.clone(),
+            expected: self.version,
+            dropped,
+        };
+        self.exchange = Exchange::Committing(Box::new(Batch {
+            head,
+            expected: self.version,
+            claims,
+            records,
+        }));
+        RangeStep::Commit(Box::new(commit))
+    }
+
+    fn new_batch(&mut self) -> BatchId {
+        let number = self.next_batch;
+        self.next_batch += 1;
+        BatchId {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            number,
+        }
+    }
+
+    /// Takes the end of a commit.
+    pub fn committed(&mut self, result: CommitResult, cx: &OwnerView<'_>) {
+        let Some(mut batch) = self.exchange.take_batch() else {
+            return;
+        };
+        match result {
+            CommitResult::Written(version) => self.written(batch, version, cx),
+            CommitResult::RateLimited => self.put_back(batch),
+            CommitResult::Conflict => {
+                self.verdicts.counts.conflicts += 1;
+                self.is_current = false;
+                self.put_back(batch);
+            }
+            CommitResult::AnswerLost => {
+                self.is_current = false;
+                self.uncertain = Some(batch.expected);
+                batch.claims.set_maybe_written(true);
+                self.put_back(batch);
+            }
+            CommitResult::Unavailable => {
+                self.pace.failed(cx.now);
+                let is_log_known = self.is_log_known(cx);
+                for wait in batch.claims.take_all() {
+                    self.verdicts.refuse(wait, is_log_known);
+                }
+                self.put_back(batch);
+            }
+        }
+        if self.is_current {
+            self.settle(cx);
+        }
+    }
+
+    fn written(&mut self, mut batch: Batch<W>, version: u64, cx: &OwnerView<'_>) {
+        self.version = Some(version);
+        self.head = batch.head;
+        self.forget_uncertain();
+        self.table.apply(&batch.records);
+        for wait in batch.claims.take_all() {
+            self.table
+                .apply([&LogRecord::of_claim(&wait.claim, cx.now)]);
+            self.verdicts.give(wait, &ClaimVerdict::Granted);
+        }
+        self.table.apply(self.outcomes.iter());
+    }
+
+    /// The head has moved on, so that no earlier write can take effect any more.
+    fn forget_uncertain(&mut self) {
+        self.uncertain = None;
+        self.waiting.set_maybe_written(false);
+    }
+
+    fn put_back(&mut self, batch: Batch<W>) {
+        self.waiting.put_back(batch.claims);
+        self.outcomes.put_back(batch.records);
+    }
+
+    /// Takes the log as it was read, or `None` if it could not be read.
+    pub fn loaded(&mut self, image: Option<RangeImage>, cx: &OwnerView<'_>) {
+        if !matches!(self.exchange, Exchange::Loading) {
+            return;
+        }
+        self.exchange = Exchange::None;
+        match image {
+            Some(image) => {
+                self.merge(image);
+                self.loaded_at = cx.now;
+                self.settle(cx);
+            }
+            None => {
+                self.pace.failed(cx.now);
+                for wait in self.waiting.take_all() {
+                    self.verdicts.refuse(wait, false);
+                }
+            }
+        }
+    }
+
+    /// Takes over what other owners have written, and finds in it what became of own writes.
+    fn merge(&mut self, image: RangeImage) {
+        if self.uncertain.is_some_and(|at| at != image.version) {
+            self.forget_uncertain();
+        }
+        for segment in &image.segments {
+            self.table.apply(&segment.records);
+        }
+        self.table.apply(&image.head.records);
+        if self.uncertain.is_none() {
+            // The log holds the others already, or the claim that they end was never written.
+            let table = &self.table;
+            self.outcomes.retain(|record| table.is_ended_by(record));
+        }
+        self.table.apply(self.outcomes.iter());
+        self.version = image.version;
+        self.head = image.head;
+        self.is_current = true;
+        self.is_load_due = false;
+    }
+
+    /// Answers each waiting claim about which the table says something.
+    fn settle(&mut self, cx: &OwnerView<'_>) {
+        for wait in self.waiting.take_all() {
+            match self.verdict_on(&wait.claim, cx) {
+                Some(verdict) => self.verdicts.give(wait, &verdict),
+                None => self.waiting.keep(wait),
+            }
+        }
+    }
+
+    fn verdict_on(&self, claim: &Claim, cx: &OwnerView<'_>) -> Option<ClaimVerdict> {
+        let present = self.table.get(&claim.key_hash, cx.now, cx.retention)?;
+        if present.request != claim.request_digest {
+            return Some(ClaimVerdict::Conflict);
+        }
+        if let Some(outcome) = present.outcome {
+            return Some(ClaimVerdict::Recorded(outcome));
+        }
+        if present.by.is_of(claim) {
+            return Some(ClaimVerdict::Granted);
+        }
+        Some(
+            match cx.is_running(&present.by.node, present.by.incarnation) {
+                true => ClaimVerdict::InFlight,
+                false => ClaimVerdict::Unknown,
+            },
+        )
+    }
+
+    fn expire(&mut self, cx: &OwnerView<'_>) {
+        let is_log_known = self.is_log_known(cx);
+        for wait in self.waiting.take_late(cx.now) {
+            self.verdicts.refuse(wait, is_log_known);
+        }
+    }
+
+    /// Whether the table holds all claims, as far as an owner can know. A daemon that is asked
+    /// although it is not the owner may have missed those of the owner.
+    fn is_log_known(&self, cx: &OwnerView<'_>) -> bool {
+        let is_read = |since| self.loaded_at >= since;
+        self.is_current && cx.owned_since.is_some_and(is_read)
+    }
+
+    /// Whether the log was read and no later version is known of.
+    pub fn is_current(&self) -> bool {
+        self.is_current
+    }
+
+    /// When the log was read last.
+    pub fn loaded_at(&self) -> Timestamp {
+        self.loaded_at
+    }
+
+    /// Verdicts since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<(W, ClaimVerdict)> {
+        self.verdicts.take()
+    }
+
+    /// Whether nothing waits, so that the range can be left to another owner.
+    pub fn is_idle(&self) -> bool {
+        let is_quiet = self.exchange.is_none() && self.verdicts.is_empty();
+        is_quiet && self.waiting.is_empty() && self.outcomes.is_empty()
+    }
+
+    /// Claims that wait for a verdict.
+    pub fn pending(&self) -> usize {
+        self.exchange.claims().map_or(0, WaitingList::len) + self.waiting.len()
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> OwnerCounts {
+        self.verdicts.counts
+    }
+
+    /// Claims that are held in memory.
+    pub fn held_claims(&self) -> usize {
+        self.table.len()
+    }
+}
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 
 mod endpoints;
 mod member_fixture;
+mod orders;
 mod stops;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod endpoints;
+mod orders;
 mod stops;
 mod support;
 mod whole_path;
