Decide membership by rings, observers and bounded gossip

Cause: the membership controller sent the whole table to every member each second, which grows with the square of the fleet.

Change: lavenderhatch-decide gets the state of one member: the overlay of 3 zone rings and 2 rings of all members, links to ring neighbours only, failure detection by observers that tell each other directly, the cut-off of a whole zone, refutation, contacts, and the reports of held versions. One side of a link sends heartbeats, the other answers. Gossip is bounded to 60 records a message and 10 KB a second.

Conclusion: the messages of a member no longer depend on the size of the fleet.

--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`distribution`]: how an accepted version reaches each daemon.
 //! - [`stops`]: when a backend server leaves for a planned stop or a signal.
 //! - [`endpoints`]: which backend servers may be chosen, and with which weight.
+//! - [`membership`]: who the members are, and which of them have failed.
 //! - [`routing`]: which backend server runs a call.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
 pub mod distribution;
 pub mod endpoints;
+pub mod membership;
 pub mod message;
 pub mod routing;
 pub mod stops;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership.rs
@@ -0,0 +1,29 @@
+//! Who the members are, and which of them have failed.
+//!
+//! [`Membership`] is the state of one daemon. Each message from another member goes in through
+//! [`Membership::receive`], the passing of time through [`Membership::tick`]; heartbeats to send
+//! come out. Nothing here connects to a member or reads the platform.
+
+mod contacts;
+mod detector;
+mod gossip;
+mod heartbeat;
+mod held;
+mod join;
+mod link;
+mod rings;
+mod stable_hash;
+mod state;
+mod table;
+mod tick;
+
+pub use contacts::{CONTACTS_PREFIX, MAX_CONTACTS, contacts_name, contacts_with};
+pub use detector::{CONFIRM_TIME, MIN_OBSERVERS, SUSPECT_AFTER, ZONE_WINDOW};
+pub use gossip::{GOSSIP_BYTES_PER_SECOND, MAX_GOSSIP_RECORDS};
+pub use held::{HeldVersions, STATUS_PREFIX, ZoneStatus, aggregator_of, groups_of, status_name};
+pub use join::{Join, join_delay};
+pub use rings::{Rings, reader_order};
+pub use stable_hash::stable_hash;
+pub use state::{HeldVersion, Membership};
+pub use table::MemberEvent;
+pub use tick::{HEARTBEAT_INTERVAL, HeartbeatTarget, TickActions};
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership/gossip.rs
@@ -0,0 +1,195 @@
+//! What a daemon passes on, and how much of it.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use lavenderhatch_core::{MemberRecord, NodeId, Timestamp};
+
+/// Most member records in one message.
+pub const MAX_GOSSIP_RECORDS: usize = 60;
+/// Most bytes of records and suspicions that a daemon sends in a second.
+pub const GOSSIP_BYTES_PER_SECOND: u64 = 10_000;
+/// Most records in one message that repeat the table for a new link. Kept low so that the links of
+/// a daemon share its bytes.
+const MAX_SYNC_RECORDS: usize = 12;
+/// Size of a suspicion in a message.
+const SUSPICION_BYTES: u64 = 80;
+/// Size of a record in a message without its texts.
+const RECORD_BASE_BYTES: u64 = 80;
+/// Size of the text of an address, padded.
+const ADDRESS_BYTES: u64 = 24;
+
+/// Bytes that may still be sent.
+#[derive(Clone, Debug)]
+pub(super) struct GossipBudget {
+    /// Invariant: at most [`GOSSIP_BYTES_PER_SECOND`].
+    bytes: u64,
+    at: Timestamp,
+}
+
+impl GossipBudget {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            bytes: GOSSIP_BYTES_PER_SECOND,
+            at: now,
+        }
+    }
+
+    /// Adds what the passing of time allows.
+    pub(super) fn refill(&mut self, now: Timestamp) {
+        let passed = now.since(self.at).min(Duration::from_secs(1));
+        let earned = GOSSIP_BYTES_PER_SECOND * passed.as_millis() as u64 / 1000;
+        self.bytes = (self.bytes + earned).min(GOSSIP_BYTES_PER_SECOND);
+        self.at = self.at.max(now);
+    }
+
+    /// Takes `bytes` if they are there.
+    pub(super) fn take(&mut self, bytes: u64) -> bool {
+        let left = self.bytes.checked_sub(bytes);
+        self.bytes = left.unwrap_or(self.bytes);
+        left.is_some()
+    }
+
+    pub(super) fn take_record(&mut self, record: &MemberRecord) -> bool {
+        self.take(record_bytes(record))
+    }
+
+    /// Takes the bytes of suspicions, which are sent in any case.
+    pub(super) fn spend_suspicions(&mut self, count: usize) {
+        self.bytes = self.bytes.saturating_sub(SUSPICION_BYTES * count as u64);
+    }
+}
+
+fn record_bytes(record: &MemberRecord) -> u64 {
+    let names = [
+        record.id.as_str(),
+        record.zone.as_str(),
+        record.region.as_str(),
+        record.service.as_str(),
+    ];
+    let padded = |text: &&str| (text.len() as u64 + 8) & !7;
+    RECORD_BASE_BYTES + 2 * ADDRESS_BYTES + names.iter().map(padded).sum::<u64>()
+}
+
+/// What is to be passed on to one link.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outbox {
+    /// Members whose records are news, oldest first.
+    news: VecDeque<NodeId>,
+    /// Invariant: the same members as in `news`.
+    waiting: BTreeSet<NodeId>,
+    sync: Option<Sync>,
+}
+
+/// Progress of the repetition of the whole table, in the order of names and round its end.
+#[derive(Clone, Debug)]
+struct Sync {
+    start: NodeId,
+    next: NodeId,
+    has_wrapped: bool,
+    /// Members whose records the link itself has sent in the meantime.
+    known: BTreeSet<NodeId>,
+}
+
+/// The records of the table that a cursor passes.
+pub(super) trait Table {
+    /// The first record at or after `id`.
+    fn at_or_after(&self, id: &NodeId) -> Option<&MemberRecord>;
+    /// The first record after `id`.
+    fn after(&self, id: &NodeId) -> Option<&MemberRecord>;
+    /// The first record.
+    fn first(&self) -> Option<&MemberRecord>;
+    /// The record of a member.
+    fn find(&self, id: &NodeId) -> Option<&MemberRecord>;
+}
+
+impl Outbox {
+    /// Adds a member whose record is news.
+    pub(super) fn push_record(&mut self, id: &NodeId) {
+        if self.waiting.insert(id.clone()) {
+            self.news.push_back(id.clone());
+        }
+    }
+
+    /// Starts to repeat the whole table from the member at or after `start`.
+    pub(super) fn start_sync(&mut self, start: NodeId) {
+        self.sync = Some(Sync {
+            next: start.clone(),
+            start,
+            has_wrapped: false,
+            known: BTreeSet::new(),
+        });
+    }
+
+    /// Notes that the link has sent the same record, which it need not be sent back.
+    pub(super) fn note_known(&mut self, id: &NodeId) {
+        if self.waiting.remove(id) {
+            self.news.retain(|waiting| waiting != id);
+        }
+        if let Some(sync) = &mut self.sync {
+            sync.known.insert(id.clone());
+        }
+    }
+
+    /// Takes the records of the next message: news first, then a part of the table.
+    pub(super) fn take_records(
+        &mut self,
+        table: &impl Table,
+        budget: &mut GossipBudget,
+    ) -> Vec<MemberRecord> {
+        let mut taken = Vec::new();
+        while taken.len() < MAX_GOSSIP_RECORDS {
+            let Some(id) = self.news.front() else { break };
+            let record = table.find(id);
+            if record.is_some_and(|record| !budget.take_record(record)) {
+                return taken;
+            }
+            taken.extend(record.cloned());
+            self.waiting.remove(id);
+            self.news.pop_front();
+        }
+        let room = MAX_SYNC_RECORDS.min(MAX_GOSSIP_RECORDS - taken.len());
+        self.take_sync(table, budget, room, &mut taken);
+        taken
+    }
+
+    fn take_sync(
+        &mut self,
+        table: &impl Table,
+        budget: &mut GossipBudget,
+        room: usize,
+        taken: &mut Vec<MemberRecord>,
+    ) {
+        let Some(sync) = &mut self.sync else { return };
+        let limit = taken.len() + room;
+        while taken.len() < limit {
+            let Some(record) = sync.record(table) else {
+                self.sync = None;
+                return;
+            };
+            if !sync.known.contains(&record.id) {
+                if !budget.take_record(record) {
+                    return;
+                }
+                taken.push(record.clone());
+            }
+            sync.pass(&record.id, table);
+        }
+    }
+}
+
+impl Sync {
+    /// The next record, `None` once the cursor has come round.
+    fn record<'t>(&self, table: &'t impl Table) -> Option<&'t MemberRecord> {
+        let record = table.at_or_after(&self.next);
+        record.filter(|record| !self.has_wrapped || record.id < self.start)
+    }
+
+    fn pass(&mut self, id: &NodeId, table: &impl Table) {
+        let next = table.after(id);
+        self.has_wrapped |= next.is_none();
+        if let Some(next) = next.or_else(|| table.first()) {
+            self.next = next.id.clone();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership/heartbeat.rs
@@ -0,0 +1,82 @@
+//! What a heartbeat says.
+
+use std::collections::BTreeSet;
+
+use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Timestamp, Version};
+
+use super::gossip::MAX_GOSSIP_RECORDS;
+use super::state::{HeldVersion, Membership};
+use crate::message::Hello;
+
+impl Membership {
+    /// The heartbeat for a member, or the answer to its heartbeat.
+    ///
+    /// `peer` is `None` for an address whose member is not known yet.
+    pub fn hello_for(&mut self, peer: Option<&NodeId>, held: HeldVersion, now: Timestamp) -> Hello {
+        self.budget.refill(now);
+        let mut hello = self.bare_hello(held);
+        let Some(peer) = peer else {
+            hello.records.push(self.own.clone());
+            return hello;
+        };
+        hello.held_by_receiver = self.highest.get(peer).copied().unwrap_or_default();
+        hello.suspects = self.words.remove(peer).unwrap_or_default();
+        self.budget.spend_suspicions(hello.suspects.len());
+        // Records are taken out of the outbox as they are sent, so a link that does not answer gets
+        // nothing but the record that introduces this daemon.
+        match self.links.get_mut(peer).filter(|link| link.is_heard(now)) {
+            Some(link) => {
+                hello.records = link.outbox.take_records(&self.table, &mut self.budget);
+            }
+            None => hello.records.push(self.own.clone()),
+        }
+        let record = self.table.by_id.get(peer);
+        let refutable = record.filter(|record| record.state >= MemberState::Failed);
+        hello
+            .records
+            .extend(refutable.map(|record| MemberRecord::clone(record)));
+        hello
+    }
+
+    /// The answer to the heartbeat of a member that has no link: it learns its ring neighbours.
+    pub fn introduction_for(&mut self, peer: &NodeId, held: HeldVersion, now: Timestamp) -> Hello {
+        let mut hello = self.hello_for(Some(peer), held, now);
+        let zone = self
+            .table
+            .by_id
+            .get(peer)
+            .map_or(&self.own.zone, |r| &r.zone);
+        let neighbours = self.table.rings.neighbours(peer, zone);
+        let known: BTreeSet<NodeId> = hello.records.iter().map(|r| r.id.clone()).collect();
+        for id in neighbours.iter().filter(|id| !known.contains(*id)) {
+            let Some(record) = self.table.by_id.get(id) else {
+                continue;
+            };
+            if hello.records.len() >= MAX_GOSSIP_RECORDS || !self.budget.take_record(record) {
+                break;
+            }
+            hello.records.push(MemberRecord::clone(record));
+        }
+        hello
+    }
+
+    /// Whether a member has a link to this daemon.
+    pub fn is_linked(&self, id: &NodeId) -> bool {
+        self.links.contains_key(id)
+    }
+
+    fn bare_hello(&self, held: HeldVersion) -> Hello {
+        Hello {
+            node: self.own.id.clone(),
+            incarnation: self.own.incarnation,
+            version: held.version,
+            digest: held.digest,
+            records: Vec::new(),
+            suspects: Vec::new(),
+            held_by_receiver: Version::NONE,
+            in_flight: 0,
+            limit: 0,
+            reports: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership/rings.rs
@@ -0,0 +1,101 @@
+//! The overlay: rings that order members by hash.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use lavenderhatch_core::{MemberRecord, NodeId, Zone};
+
+use super::stable_hash::stable_hash;
+
+/// Rings of each zone.
+const ZONE_RINGS: usize = 3;
+/// Rings of all members.
+const WIDE_RINGS: usize = 2;
+
+/// Members in the order of their hashes.
+#[derive(Clone, Debug, Default)]
+struct Ring {
+    places: BTreeSet<(u64, NodeId)>,
+}
+
+impl Ring {
+    fn insert(&mut self, number: usize, id: &NodeId) {
+        self.places.insert(place(number, id));
+    }
+
+    fn remove(&mut self, number: usize, id: &NodeId) {
+        self.places.remove(&place(number, id));
+    }
+
+    /// Successor and predecessor of a place, which need not be taken.
+    fn neighbours(&self, number: usize, id: &NodeId) -> impl Iterator<Item = &NodeId> {
+        let at = place(number, id);
+        let after = (Bound::Excluded(&at), Bound::Unbounded);
+        let next = self.places.range(after).next();
+        let next = next.or_else(|| self.places.first());
+        let previous = self.places.range(..&at).next_back();
+        let previous = previous.or_else(|| self.places.last());
+        next.into_iter().chain(previous).map(|(_, id)| id)
+    }
+}
+
+fn place(number: usize, id: &NodeId) -> (u64, NodeId) {
+    (stable_hash(number as u64, id.as_str()), id.clone())
+}
+
+/// Place of a member on the first ring of its zone. The rendezvous hash that chooses readers.
+pub fn reader_order(id: &NodeId) -> u64 {
+    stable_hash(WIDE_RINGS as u64, id.as_str())
+}
+
+/// Rings of all zones and of all members.
+#[derive(Clone, Debug, Default)]
+pub struct Rings {
+    wide: [Ring; WIDE_RINGS],
+    zones: BTreeMap<Zone, [Ring; ZONE_RINGS]>,
+}
+
+impl Rings {
+    /// Adds a member.
+    pub fn insert(&mut self, record: &MemberRecord) {
+        let of_zone = self.zones.entry(record.zone.clone()).or_default();
+        let rings = self.wide.iter_mut().chain(of_zone);
+        rings
+            .enumerate()
+            .for_each(|(number, ring)| ring.insert(number, &record.id));
+    }
+
+    /// Takes a member out.
+    pub fn remove(&mut self, record: &MemberRecord) {
+        let of_zone = self.zones.get_mut(&record.zone);
+        let rings = self.wide.iter_mut().chain(of_zone.into_iter().flatten());
+        rings
+            .enumerate()
+            .for_each(|(number, ring)| ring.remove(number, &record.id));
+    }
+
+    /// Successors and predecessors of a member on all its rings. The member need not be on them.
+    pub fn neighbours(&self, id: &NodeId, zone: &Zone) -> BTreeSet<NodeId> {
+        let of_zone = self.zones.get(zone).into_iter().flatten();
+        let rings = self.wide.iter().chain(of_zone);
+        let found = rings
+            .enumerate()
+            .flat_map(|(number, ring)| ring.neighbours(number, id));
+        found.filter(|other| *other != id).cloned().collect()
+    }
+
+    /// Members of a zone in the order of its first ring, see [`reader_order`].
+    pub fn zone_members(&self, zone: &Zone) -> impl Iterator<Item = &NodeId> {
+        let first = self.zones.get(zone).map(|rings| &rings[0]);
+        first
+            .into_iter()
+            .flat_map(|ring| ring.places.iter().map(|(_, id)| id))
+    }
+
+    /// Number of members of a zone.
+    pub fn zone_len(&self, zone: &Zone) -> usize {
+        self.zones
+            .get(zone)
+            .map_or(0, |rings| rings[0].places.len())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership/table.rs
@@ -0,0 +1,130 @@
+//! Records of all known members and the rings that they form.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Timestamp};
+
+use super::gossip::Table;
+use super::rings::Rings;
+
+/// Time for which the record of a member that has gone is kept, so that older records of it that
+/// still travel do not bring it back.
+const GONE_AGE: Duration = Duration::from_secs(3600);
+
+/// A record that changed the state of a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberEvent {
+    /// The record now.
+    pub record: Arc<MemberRecord>,
+    /// State before, `None` for a member that was not known.
+    pub before: Option<MemberState>,
+}
+
+impl MemberEvent {
+    /// Whether the member was declared failed or unreachable.
+    pub fn is_failure(&self) -> bool {
+        self.record.state >= MemberState::Failed && self.before < Some(MemberState::Failed)
+    }
+
+    /// Whether the member was failed or unreachable and has come back.
+    pub fn is_return(&self) -> bool {
+        self.record.state < MemberState::Failed && self.before >= Some(MemberState::Failed)
+    }
+}
+
+/// Records by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct MemberTable {
+    pub(super) by_id: BTreeMap<NodeId, Arc<MemberRecord>>,
+    /// Invariant: the members of `by_id` that are neither left nor failed.
+    pub(super) rings: Rings,
+    /// Members that have left or failed, and since when.
+    gone: BTreeMap<NodeId, Timestamp>,
+}
+
+impl MemberTable {
+    /// Puts a record in place if it supersedes the present one.
+    pub(super) fn apply(&mut self, record: MemberRecord, now: Timestamp) -> Option<MemberEvent> {
+        let present = self.by_id.get(&record.id);
+        if present.is_some_and(|present| !record.supersedes(present)) {
+            return None;
+        }
+        let before = present.map(|present| present.state);
+        if let Some(present) = present.filter(|present| is_on_rings(present)) {
+            self.rings.remove(present);
+        }
+        let record = Arc::new(record);
+        if is_on_rings(&record) {
+            self.rings.insert(&record);
+            self.gone.remove(&record.id);
+        } else {
+            self.gone.entry(record.id.clone()).or_insert(now);
+        }
+        self.by_id.insert(record.id.clone(), Arc::clone(&record));
+        Some(MemberEvent { record, before })
+    }
+
+    /// Drops members that have gone long ago, and returns their names.
+    pub(super) fn forget(&mut self, now: Timestamp) -> Vec<NodeId> {
+        let is_old = |at: &Timestamp| now.since(*at) >= GONE_AGE;
+        let old = self.gone.iter().filter(|(_, at)| is_old(at));
+        let old: Vec<NodeId> = old.map(|(id, _)| id.clone()).collect();
+        for id in &old {
+            self.gone.remove(id);
+            self.by_id.remove(id);
+        }
+        old
+    }
+
+    /// One of the failed members, chosen by `random`.
+    pub(super) fn any_failed(&self, random: u64) -> Option<&MemberRecord> {
+        if self.gone.is_empty() {
+            return None;
+        }
+        let at = random as usize % self.gone.len();
+        let record = self.gone.keys().nth(at).and_then(|id| self.by_id.get(id))?;
+        (record.state == MemberState::Failed).then_some(record.as_ref())
+    }
+
+    /// Live members of the zone of `record`, in the order of the zone's first ring.
+    pub(super) fn zone_live(&self, record: &MemberRecord) -> impl Iterator<Item = &NodeId> {
+        let is_live = |id: &&NodeId| {
+            let record = self.by_id.get(*id);
+            record.is_some_and(|record| record.state <= MemberState::Leaving)
+        };
+        self.rings.zone_members(&record.zone).filter(is_live)
+    }
+}
+
+/// Members that are cut off stay on the rings, so that their neighbours notice their return.
+fn is_on_rings(record: &MemberRecord) -> bool {
+    !matches!(record.state, MemberState::Left | MemberState::Failed)
+}
+
+impl Table for MemberTable {
+    fn at_or_after(&self, id: &NodeId) -> Option<&MemberRecord> {
+        self.by_id
+            .range::<NodeId, _>(id..)
+            .next()
+            .map(|(_, record)| record.as_ref())
+    }
+
+    fn after(&self, id: &NodeId) -> Option<&MemberRecord> {
+        let range = (Bound::Excluded(id), Bound::Unbounded);
+        let next = self.by_id.range::<NodeId, _>(range).next();
+        next.map(|(_, record)| record.as_ref())
+    }
+
+    fn first(&self) -> Option<&MemberRecord> {
+        self.by_id
+            .first_key_value()
+            .map(|(_, record)| record.as_ref())
+    }
+
+    fn find(&self, id: &NodeId) -> Option<&MemberRecord> {
+        self.by_id.get(id).map(Arc::as_ref)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/membership/tick.rs
@@ -0,0 +1,288 @@
+//! What the passing of time asks of a daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lavenderhatch_core::{Incarnation, MemberState, NodeId, Timestamp};
+
+use super::detector::SUSPECT_AFTER;
+use super::held::{ZoneStatus, aggregator_of, groups_of};
+use super::state::{HeldVersion, Membership};
+use super::table::MemberEvent;
+use crate::message::{HeldReport, Suspicion};
+
+/// Time between two heartbeats of a link.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which the member that waits for heartbeats sends one itself.
+const OVERDUE: Duration = Duration::from_millis(1500);
+/// Time between two ticks that shows that this daemon was paused.
+const PAUSE: Duration = Duration::from_millis(1500);
+/// Time between two repetitions of a suspicion.
+const REPEAT_SUSPICION: Duration = Duration::from_secs(2);
+/// Time between two heartbeats to members that have failed, which find those that are back.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two reports of the version held.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two writes of the zone's status.
+const STATUS_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which the links are the same before the first peers count as known.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// A heartbeat that is to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeartbeatTarget {
+    /// The member.
+    pub id: NodeId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Held versions for the first reader of the zone.
+    pub report: Option<HeldReport>,
+}
+
+/// What is to be done after a tick.
+#[derive(Clone, Debug, Default)]
+pub struct TickActions {
+    /// Heartbeats to send.
+    pub heartbeats: Vec<HeartbeatTarget>,
+    /// Whether to read the contacts from the platform.
+    pub reads_contacts: bool,
+    /// Status of the zone to write, if this daemon is the zone's first reader.
+    pub status: Option<ZoneStatus>,
+    /// Members whose state changed.
+    pub events: Vec<MemberEvent>,
+}
+
+impl Membership {
+    /// Takes the time. To be called about four times a second. `random` is uniform over all values.
+    pub fn tick(&mut self, held: HeldVersion, now: Timestamp, random: u64) -> TickActions {
+        self.excuse_pause(now);
+        let mut actions = TickActions {
+            events: self.judge(now),
+            ..TickActions::default()
+        };
+        self.settle(held, now);
+        self.beat(&mut actions, now);
+        self.send_words(&mut actions);
+        self.probe(&mut actions, now, random);
+        self.report(&mut actions, held, now);
+        if self.is_isolated(now) {
+            actions.reads_contacts = self.join.is_due(now, random);
+        }
+        self.forget(now);
+        actions
+    }
+
+    /// Whether no link has been heard from.
+    pub fn is_isolated(&self, now: Timestamp) -> bool {
+        let is_heard = |at: Timestamp| now.since(at) <= SUSPECT_AFTER;
+        !self
+            .links
+            .values()
+            .filter_map(|link| link.heard)
+            .any(is_heard)
+    }
+
+    /// A daemon that was paused has heard nobody, which says nothing about the others.
+    fn excuse_pause(&mut self, now: Timestamp) {
+        if now.since(self.last_tick) > PAUSE {
+            self.links.values_mut().for_each(|link| link.since = now);
+        }
+        self.last_tick = now;
+    }
+
+    /// Suspects links that are silent, and declares members failed on which enough observers agree.
+    fn judge(&mut self, now: Timestamp) -> Vec<MemberEvent> {
+        self.detector.expire(now);
+        self.suspect_silent_links(now);
+        let is_isolated = self.is_isolated(now);
+        let mut events = Vec::new();
+        for id in self.detector.suspects() {
+            let Some(record) = self.table.by_id.get(&id) else {
+                continue;
+            };
+            let observers = self.table.rings.neighbours(&id, &record.zone);
+            if !self.detector.is_verdict_due(record, &observers, now) {
+                continue;
+            }
+            // A daemon that hears nobody cannot tell its own fault from that of all others.
+            let state = match is_isolated {
+                true => MemberState::Unreachable,
+                false => MemberState::Failed,
+            };
+            events.extend(self.mark(&id, state, now));
+        }
+        events.extend(self.mark_cut_off(&events.clone(), now));
+        if !events.is_empty() {
+            self.refresh_links(now);
+        }
+        events
+    }
+
+    fn suspect_silent_links(&mut self, now: Timestamp) {
+        let is_silent = |at: Timestamp| now.since(at) >= SUSPECT_AFTER;
+        let silent = self
+            .links
+            .iter()
+            .filter(|(_, link)| is_silent(link.silent_since()));
+        let silent: Vec<NodeId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            let Some(record) = self.table.by_id.get(&id) else {
+                continue;
+            };
+            let is_known = self
+                .detector
+                .has_word(&id, &self.own.id, REPEAT_SUSPICION, now);
+            if record.state > MemberState::Leaving || is_known {
+                continue;
+            }
+            let suspicion = self.word(&id, record.incarnation, false);
+            self.detector.note(&suspicion, now);
+            self.tell_observers(&suspicion);
+        }
+    }
+
+    fn word(&self, id: &NodeId, incarnation: Incarnation, is_withdrawn: bool) -> Suspicion {
+        Suspicion {
+            node: id.clone(),
+            incarnation,
+            observer: self.own.id.clone(),
+            is_withdrawn,
+        }
+    }
+
+    /// Withdraws this daemon's suspicion of a member that was heard.
+    pub(super) fn withdraw(&mut self, id: &NodeId, incarnation: Incarnation, now: Timestamp) {
+        if !self.detector.has_any_word(id, &self.own.id) {
+            return;
+        }
+        let word = self.word(id, incarnation, true);
+        self.detector.note(&word, now);
+        self.tell_observers(&word);
+    }
+
+    /// Suspicions go from observer to observer directly. Others learn of the verdict only.
+    fn tell_observers(&mut self, suspicion: &Suspicion) {
+        let Some(record) = self.table.by_id.get(&suspicion.node) else {
+            return;
+        };
+        let observers = self.table.rings.neighbours(&suspicion.node, &record.zone);
+        for observer in observers.into_iter().filter(|id| *id != self.own.id) {
+            let words = self.words.entry(observer).or_default();
+            words.retain(|word| word.node != suspicion.node);
+            words.push(suspicion.clone());
+        }
+    }
+
+    fn send_words(&mut self, actions: &mut TickActions) {
+        let ids: Vec<NodeId> = self.words.keys().cloned().collect();
+        for id in ids {
+            match self.table.by_id.contains_key(&id) {
+                true => self.push_target(actions, &id, None),
+                false => drop(self.words.remove(&id)),
+            }
+        }
+    }
+
+    fn push_target(&self, actions: &mut TickActions, id: &NodeId, report: Option<HeldReport>) {
+        let present = actions
+            .heartbeats
+            .iter_mut()
+            .find(|target| target.id == *id);
+        if let Some(target) = present {
+            target.report = report.or(target.report.take());
+            return;
+        }
+        let Some(record) = self.table.by_id.get(id) else {
+            return;
+        };
+        actions.heartbeats.push(HeartbeatTarget {
+            id: id.clone(),
+            addr: record.peer_addr,
+            report,
+        });
+    }
+
+    /// One side of each link sends heartbeats and the other answers, which makes half the messages.
+    fn beat(&mut self, actions: &mut TickActions, now: Timestamp) {
+        let own = self.own.id.clone();
+        let is_due = |id: &NodeId, link: &super::link::Link| {
+            let Some(sent) = link.sent else { return true };
+            let is_overdue = now.since(link.silent_since()) >= OVERDUE;
+            (own < *id || is_overdue) && now.since(sent) >= HEARTBEAT_INTERVAL
+        };
+        let due = self.links.iter().filter(|(id, link)| is_due(id, link));
+        let due: Vec<NodeId> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.push_target(actions, &id, None);
+            if let Some(link) = self.links.get_mut(&id) {
+                link.sent = Some(now);
+            }
+        }
+    }
+
+    fn probe(&mut self, actions: &mut TickActions, now: Timestamp, random: u64) {
+        if now.since(self.last_probe) < PROBE_INTERVAL {
+            return;
+        }
+        self.last_probe = now;
+        let failed = self
+            .table
+            .any_failed(random)
+            .map(|record| record.id.clone());
+        if let Some(id) = failed {
+            self.push_target(actions, &id, None);
+        }
+    }
+
+    fn report(&mut self, actions: &mut TickActions, held: HeldVersion, now: Timestamp) {
+        if now.since(self.last_report) < REPORT_INTERVAL {
+            return;
+        }
+        self.last_report = now;
+        self.reports.expire(now);
+        let live = self.table.zone_live(&self.own).count();
+        let leaders: Vec<NodeId> = self
+            .table
+            .zone_live(&self.own)
+            .take(groups_of(live))
+            .cloned()
+            .collect();
+        let leaders: Vec<&NodeId> = leaders.iter().collect();
+        let is_leader = leaders.contains(&&self.own.id);
+        if let Some(to) = aggregator_of(&leaders, &self.own.id) {
+            let report = is_leader.then(|| self.group_report(held, &leaders));
+            return self.push_target(actions, to, report);
+        }
+        if now.since(self.last_status) >= STATUS_INTERVAL {
+            self.last_status = now;
+            let report = self.group_report(held, &leaders);
+            actions.status = Some(self.status(self.reports.with_groups(report), live));
+        }
+    }
+
+    fn status(&self, report: HeldReport, live: usize) -> ZoneStatus {
+        ZoneStatus {
+            zone: self.own.zone.clone(),
+            author: self.own.id.clone(),
+            lowest: report.lowest,
+            members: live as u32,
+            reported: report.members,
+            lagging: report.lagging,
+        }
+    }
+
+    /// The first peers count as known once all links have answered or had the time to, and the
+    /// links are no longer changing. Only then is the floor of a restarted daemon complete.
+    fn settle(&mut self, held: HeldVersion, now: Timestamp) {
+        if self.is_settled || held.version.0 > 0 {
+            self.is_settled = true;
+            return;
+        }
+        let has_had_time = |at: Timestamp| now.since(at) >= SUSPECT_AFTER;
+        let mut links = self.links.values();
+        let is_answered = self.links.values().any(|link| link.heard.is_some());
+        let is_complete = links.all(|link| link.heard.is_some() || has_had_time(link.since));
+        let is_steady = now.since(self.links_changed) >= SETTLE_TIME;
+        self.is_settled = is_answered && is_complete && is_steady;
+    }
+}
