--- a/crates/lavenderhatch-core/src/mesh/changes.rs
+++ b/crates/lavenderhatch-core/src/mesh/changes.rs
@@ -54,6 +54,22 @@
         parts
     }
 
+    /// Adds the changes of a later step, which take precedence.
+    pub fn follow_with(&mut self, later: &MeshChanges) {
+        let Self {
+            services,
+            routes,
+            ranks,
+            stops,
+            limits,
+        } = later.clone();
+        self.services.extend(services);
+        self.routes.extend(routes);
+        self.ranks.extend(ranks);
+        self.stops.extend(stops);
+        self.limits = limits.or(self.limits.take());
+    }
+
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
--- a/crates/lavenderhatch-decide/src/distribution/delta_log.rs
+++ b/crates/lavenderhatch-decide/src/distribution/delta_log.rs
@@ -7,41 +7,52 @@
 
 use crate::message::{Delta, Update, UpdateRequest, Whole};
 
-/// Most versions that the log goes back.
+/// Most steps that the log goes back.
 pub const DELTA_LOG_CAPACITY: usize = 64;
 
-/// Recent meshes, so that changes between any two of them can be worked out.
+/// One switch of versions on this daemon.
+#[derive(Clone, Debug)]
+struct LogStep {
+    base_version: Version,
+    base_digest: Digest,
+    changes: MeshChanges,
+}
+
+/// The mesh in force and the changes that led to it.
 #[derive(Clone, Debug, Default)]
 pub struct DeltaLog {
-    /// Invariant: versions increase; at most [`DELTA_LOG_CAPACITY`]; the last one is in force.
-    snapshots: VecDeque<ConfigSnapshot>,
+    newest: Option<ConfigSnapshot>,
+    /// Invariant: each step leads to the base of the next and the last one to `newest`; at most
+    /// [`DELTA_LOG_CAPACITY`].
+    steps: VecDeque<LogStep>,
 }
 
 impl DeltaLog {
     /// Adds a snapshot that was put in force.
     pub fn push(&mut self, snapshot: &ConfigSnapshot) {
-        if self.snapshots.len() >= DELTA_LOG_CAPACITY {
-            self.snapshots.pop_front();
+        if let Some(base) = &self.newest {
+            self.steps.push_back(LogStep {
+                base_version: base.version,
+                base_digest: base.digest(),
+                changes: MeshChanges::between(&base.mesh, &snapshot.mesh),
+            });
         }
-        self.snapshots.push_back(snapshot.clone());
+        if self.steps.len() > DELTA_LOG_CAPACITY {
+            self.steps.pop_front();
+        }
+        self.newest = Some(snapshot.clone());
     }
 
     /// Answers an update request.
     pub fn answer(&self, req: &UpdateRequest) -> Update {
-        let Some(newest) = self.snapshots.back() else {
+        let Some(newest) = &self.newest else {
             return Update::None;
         };
         if newest.version <= req.held {
             return Update::None;
         }
-        match self.snapshots.iter().find(|old| old.version == req.held) {
-            Some(base) => Update::Delta(Delta {
-                base_version: base.version,
-                base_digest: base.digest(),
-                version: newest.version,
-                digest: newest.digest(),
-                changes: MeshChanges::between(&base.mesh, &newest.mesh),
-            }),
+        match self.delta_from(req.held, newest) {
+            Some(delta) => Update::Delta(delta),
             None => Update::Whole(Whole {
                 version: newest.version,
                 digest: newest.digest(),
@@ -50,10 +61,29 @@
         }
     }
 
-    /// Version and digest of the newest snapshot.
+    fn delta_from(&self, held: Version, newest: &ConfigSnapshot) -> Option<Delta> {
+        let at = self
+            .steps
+            .iter()
+            .position(|step| step.base_version == held)?;
+        let base = &self.steps[at];
+        let mut changes = base.changes.clone();
+        for step in self.steps.iter().skip(at + 1) {
+            changes.follow_with(&step.changes);
+        }
+        Some(Delta {
+            base_version: base.base_version,
+            base_digest: base.base_digest,
+            version: newest.version,
+            digest: newest.digest(),
+            changes,
+        })
+    }
+
+    /// Version and digest of the mesh in force.
     pub fn newest(&self) -> Option<(Version, Digest)> {
-        self.snapshots
-            .back()
+        self.newest
+            .as_ref()
             .map(|snapshot| (snapshot.version, snapshot.digest()))
     }
 }
