--- a/crates/lavenderhatch-daemon/src/admin/port.rs
+++ b/crates/lavenderhatch-daemon/src/admin/port.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 
 use super::status::DaemonStatus;
+use crate::peer::ControlTraffic;
 
 /// Most connections at the same time.
 const MAX_CONNECTIONS: usize = 32;
@@ -39,8 +40,9 @@
         node: NodeId,
         board: Blackboard,
         registry: Registry,
+        traffic: ControlTraffic,
     ) -> Result<Self> {
-        let server = Server::new(move |req| answer(req, &node, &board, &registry))
+        let server = Server::new(move |req| answer(req, &node, &board, &registry, &traffic))
             .bind(addr)
             .with_global_timeout(IDLE_TIMEOUT)
             .with_max_concurrent_connections(MAX_CONNECTIONS);
@@ -58,9 +60,10 @@
     node: &NodeId,
     board: &Blackboard,
     registry: &Registry,
+    traffic: &ControlTraffic,
 ) -> Response<Body> {
     match (req.method().as_str(), req.uri().path()) {
-        ("GET", "/status") => json(&DaemonStatus::from_board(node, board)),
+        ("GET", "/status") => json(&DaemonStatus::from_board(node, board, traffic.bytes())),
         ("GET", "/config") => config(board),
         ("GET", "/audit") => json(&AuditLog::clone(&board.audit.load())),
         ("GET", "/metrics") => metrics(registry),
--- a/crates/lavenderhatch-daemon/src/admin/status.rs
+++ b/crates/lavenderhatch-daemon/src/admin/status.rs
@@ -8,6 +8,8 @@
 use lavenderhatch_core::{MemberRecord, NodeId, StopName, Timestamp, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::peer::ControlBytes;
+
 /// A member as a daemon sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -32,11 +34,13 @@
     pub stops: BTreeMap<StopName, StopStatus>,
     /// Load of this backend server.
     pub load: LoadView,
+    /// Bytes of messages to and from other daemons that carry no calls.
+    pub control: ControlBytes,
 }
 
 impl DaemonStatus {
     /// Reads the blackboard of the daemon named `node`.
-    pub fn from_board(node: &NodeId, board: &Blackboard) -> Self {
+    pub fn from_board(node: &NodeId, board: &Blackboard, control: ControlBytes) -> Self {
         let config = board.config.load();
         let config = config.as_ref().as_ref();
         let version = config.map_or(Version::NONE, |config| config.version);
@@ -59,6 +63,7 @@
                 .collect(),
             stops: board.drains.load().stops.clone(),
             load: LoadView::clone(&board.load.load()),
+            control,
         }
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod platform_reader;
 mod stop;
+mod zone_objects;
 
 pub(crate) use platform_reader::news_channel;
 
@@ -20,3 +21,4 @@
 pub use membership::MembershipController;
 pub use platform_reader::{PlatformReader, RootNews};
 pub use stop::{LeaveSender, StopController};
+pub use zone_objects::{ZoneJob, ZoneObjects};
--- a/crates/lavenderhatch-daemon/src/controller/distribution.rs
+++ b/crates/lavenderhatch-daemon/src/controller/distribution.rs
@@ -9,9 +9,11 @@
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
 use lavenderhatch_core::member::Members;
 use lavenderhatch_core::{ConfigSnapshot, NodeId, Timestamp, Version};
-use lavenderhatch_decide::distribution::{DeltaLog, Step, evaluate_update};
+use lavenderhatch_decide::distribution::{
+    DeltaLog, PullResult, Puller, Refusal, Step, Transfers, evaluate_update,
+};
 use lavenderhatch_decide::message::{Update, UpdateRequest};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
@@ -19,7 +21,7 @@
 use crate::peer::{DistributionRequest, PeerCommand, PeerLinks, PeerReply};
 
 /// Time between two looks for a member that is ahead.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(100);
 
 /// What the controller is connected to.
 #[derive(Debug)]
@@ -51,10 +53,12 @@
 struct Running {
     cx: DistributionController,
     log: DeltaLog,
+    puller: Puller,
+    transfers: Transfers,
     updates_tx: Sender<PeerReply<Update>>,
     updates: Receiver<PeerReply<Update>>,
-    /// The member that was asked last and has not answered.
-    asked: Option<SocketAddr>,
+    /// The member that was asked last.
+    asked: Option<(SocketAddr, NodeId)>,
 }
 
 impl Running {
@@ -63,6 +67,8 @@
         Self {
             cx,
             log: DeltaLog::default(),
+            puller: Puller::default(),
+            transfers: Transfers::default(),
             updates_tx,
             updates,
             asked: None,
@@ -80,7 +86,7 @@
                     Err(_) => return,
                 },
                 recv(self.cx.news) -> news => match news {
-                    Ok(RootNews::Whole(whole)) => self.evaluate(&Update::Whole(whole), None),
+                    Ok(RootNews::Whole(whole)) => drop(self.evaluate(&Update::Whole(whole))),
                     Ok(RootNews::Empty) => {}
                     Err(_) => return,
                 },
@@ -88,9 +94,10 @@
                     Ok(reply) => self.receive(reply),
                     Err(_) => return,
                 },
-                recv(woken) -> _ => self.ask_if_behind(),
-                recv(ticks) -> _ => self.ask_if_behind(),
+                recv(woken) -> _ => {}
+                recv(ticks) -> _ => {}
             }
+            self.pull();
         }
     }
 
@@ -102,42 +109,89 @@
 
     fn serve(&mut self, req: DistributionRequest) {
         match req {
-            DistributionRequest::Update { req, reply } => reply.send(self.log.answer(&req)),
-            DistributionRequest::Announce { version, .. } => {
-                if version > self.held() {
-                    self.ask_if_behind();
+            DistributionRequest::Update { req, reply } => reply.send(self.answer(&req)),
+            DistributionRequest::Announce { from, version, .. } => {
+                if let Some(from) = from.filter(|_| version > self.held()) {
+                    let now = Timestamp::from_system_clock();
+                    self.puller.announce(&from, version, now);
                 }
             }
         }
     }
 
-    fn receive(&mut self, reply: PeerReply<Update>) {
-        if self.asked == Some(reply.addr) {
-            self.asked = None;
+    fn answer(&mut self, req: &UpdateRequest) -> Update {
+        let update = self.log.answer(req);
+        let Update::Whole(whole) = &update else {
+            return update;
+        };
+        let now = Timestamp::from_system_clock();
+        let started = self.transfers.start(whole.mesh.len(), now, rand::random());
+        match started {
+            Ok(()) => update,
+            Err(wait) => Update::Busy(wait),
         }
-        match reply.result {
-            Ok(update) => self.evaluate(&update, Some(reply.addr)),
-            Err(err) => warn!("config: no update from {}: {err}", reply.addr),
+    }
+
+    /// Asks a member that is ahead. A daemon that starts asks nobody before its floor is known.
+    fn pull(&mut self) {
+        let members = self.cx.members.load_full();
+        if !members.is_joined {
+            return;
         }
+        let now = Timestamp::from_system_clock();
+        let pull = self.puller.next(self.held(), &members, now, rand::random());
+        let Some(pull) = pull else { return };
+        let Some(record) = members.get(pull.from.as_str()) else {
+            return;
+        };
+        debug!("config: asks {} for version {}", pull.from, pull.req.want);
+        self.asked = Some((record.peer_addr, pull.from));
+        let command = PeerCommand::Update {
+            req: pull.req,
+            done: self.updates_tx.clone(),
+        };
+        self.cx.links.send(record.peer_addr, command);
     }
 
-    fn evaluate(&mut self, update: &Update, from: Option<SocketAddr>) {
+    fn receive(&mut self, reply: PeerReply<Update>) {
+        let is_asked = |asked: &mut (SocketAddr, NodeId)| asked.0 == reply.addr;
+        let Some((addr, from)) = self.asked.take_if(is_asked) else {
+            debug!("config: late update from {}", reply.addr);
+            return;
+        };
+        let result = match reply.result {
+            Ok(update) => self.evaluate(&update).unwrap_or_else(|_| {
+                self.cx.links.send(addr, PeerCommand::Close);
+                PullResult::Refused
+            }),
+            Err(err) => {
+                warn!("config: no update from {from}: {err}");
+                PullResult::NoAnswer
+            }
+        };
+        let now = Timestamp::from_system_clock();
+        self.puller.finish(&from, result, now);
+    }
+
+    /// Decides on an update and puts it in force if it is sound and new.
+    fn evaluate(&mut self, update: &Update) -> Result<PullResult, Refusal> {
         let now = Timestamp::from_system_clock();
         let held = self.cx.config.load();
         let floor = self.cx.members.load().floor;
         let decision = evaluate_update(held.as_ref().as_ref(), floor, update, now);
         drop(held);
         match decision {
-            Ok(Step::Apply(snapshot)) => self.apply(snapshot),
-            Ok(Step::AskWhole) => {
-                if let Some(addr) = from {
-                    self.ask(addr, Version::NONE);
-                }
+            Ok(Step::Apply(snapshot)) => {
+                self.apply(snapshot);
+                Ok(PullResult::Done)
             }
-            Ok(Step::Keep | Step::AskLater(_)) => {}
+            Ok(Step::Keep) => Ok(PullResult::Nothing),
+            Ok(Step::AskWhole) => Ok(PullResult::NeedsWhole),
+            Ok(Step::AskLater(wait)) => Ok(PullResult::Busy(wait)),
             Err(refusal) => {
                 warn!("config: update refused: {refusal}");
                 self.report(AuditAction::UpdateRefused, None, refusal.to_string(), now);
+                Err(refusal)
             }
         }
     }
@@ -156,7 +210,7 @@
             reason,
             now,
         );
-        for addr in self.link_addrs() {
+        for addr in self.addrs_behind(version) {
             self.cx
                 .links
                 .send(addr, PeerCommand::Announce { version, digest });
@@ -181,40 +235,15 @@
         });
     }
 
-    fn link_addrs(&self) -> Vec<SocketAddr> {
+    /// Addresses of the linked members that are not known to hold the version.
+    fn addrs_behind(&self, version: Version) -> Vec<SocketAddr> {
         let members = self.cx.members.load();
-        let records = members
-            .links
-            .iter()
-            .filter_map(|id| members.get(id.as_str()));
-        records.map(|record| record.peer_addr).collect()
-    }
-
-    /// Asks the linked member that holds the highest version, if it is ahead of this daemon.
-    fn ask_if_behind(&mut self) {
-        let members = self.cx.members.load_full();
-        let best = members.heard.iter().max_by_key(|(_, heard)| heard.version);
-        let Some((id, heard)) = best else { return };
-        if heard.version <= self.held() || self.asked.is_some() {
-            return;
-        }
-        if let Some(record) = members.get(id.as_str()) {
-            self.ask(record.peer_addr, self.held());
-        }
-    }
-
-    fn ask(&mut self, addr: SocketAddr, held: Version) {
-        let req = UpdateRequest {
-            held,
-            want: self.held().next(),
+        let is_behind = |id: &&NodeId| {
+            let heard = members.heard.get(*id);
+            heard.is_none_or(|heard| heard.version < version)
         };
-        self.asked = Some(addr);
-        self.cx.links.send(
-            addr,
-            PeerCommand::Update {
-                req,
-                done: self.updates_tx.clone(),
-            },
-        );
+        let links = members.links.iter().filter(is_behind);
+        let records = links.filter_map(|id| members.get(id.as_str()));
+        records.map(|record| record.peer_addr).collect()
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller/handle.rs
+++ b/crates/lavenderhatch-daemon/src/controller/handle.rs
@@ -28,6 +28,13 @@
             thread: Some(thread),
         })
     }
+
+    /// Lets the thread end on its own after the handle is dropped. For threads that wait for an
+    /// outside system, which may take seconds to answer.
+    pub fn detached(mut self) -> Self {
+        self.thread = None;
+        self
+    }
 }
 
 impl Drop for ControllerHandle {
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -1,243 +1,265 @@
-//! Announces this backend server and learns of the others. Writes the `members` section.
+//! Keeps this daemon a member and learns of the others. Writes the `members` section.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
 use eyre::Result;
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
 use lavenderhatch_core::drain::Drains;
-use lavenderhatch_core::member::{HeardVersion, Members};
-use lavenderhatch_core::{ConfigSnapshot, Digest, MemberRecord, NodeId, Timestamp, Version};
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{ConfigSnapshot, MemberRecord, MemberState, NodeId, Timestamp, Version};
+use lavenderhatch_decide::membership::{HeldVersion, MemberEvent, Membership};
 use lavenderhatch_decide::message::Hello;
-use lavenderhatch_platform::{Expected, Platform};
-use tracing::{debug, warn};
+use tracing::{debug, info};
 
+use super::audit::AuditSender;
 use super::handle::ControllerHandle;
+use super::zone_objects::ZoneJob;
 use crate::peer::{HeartbeatRequest, PeerCommand, PeerLinks, PeerReply};
 
-/// Time between two heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Prefix of the objects that list members of a zone.
-const CONTACTS_PREFIX: &str = "contacts/";
-/// Most members that one contact object lists.
-const MAX_CONTACTS: usize = 16;
+/// Time between two ticks of the deciding functions.
+const TICK: Duration = Duration::from_millis(250);
 
 /// What the controller is connected to.
 #[derive(Debug)]
-pub struct MembershipController<P> {
+pub struct MembershipController {
     /// Record of this daemon.
     pub own: MemberRecord,
-    /// The platform, for the first contacts.
-    pub platform: P,
+    /// Daemons that are asked first, besides the contacts in the platform.
+    pub first_peers: Vec<SocketAddr>,
     /// The configuration in force.
     pub config: SectionReader<Option<ConfigSnapshot>>,
-    /// This server's own drain.
+    /// Planned stops, for this daemon's own state.
     pub drains: SectionReader<Drains>,
     /// The section that this controller owns.
     pub members: SectionWriter<Members>,
     /// Heartbeats of peers.
     pub heartbeats: Receiver<HeartbeatRequest>,
+    /// What is to be read from and written to the platform.
+    pub jobs: Sender<ZoneJob>,
+    /// Contacts that the platform names.
+    pub contacts: Receiver<Vec<MemberRecord>>,
     /// Links to peers.
     pub links: PeerLinks,
+    /// Audit trail.
+    pub audit: AuditSender,
 }
 
-impl<P: Platform> MembershipController<P> {
+impl MembershipController {
     /// Starts the controller.
     pub fn spawn(self) -> Result<ControllerHandle> {
         ControllerHandle::spawn("membership", move |stop| Running::new(self).run(&stop))
     }
 }
 
-/// The controller's own state.
-struct Running<P> {
-    cx: MembershipController<P>,
-    by_id: BTreeMap<NodeId, Arc<MemberRecord>>,
-    heard: BTreeMap<NodeId, HeardVersion>,
+/// What other controllers have to see at once rather than at the next tick.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Urgent {
     floor: Version,
-    is_registered: bool,
+    newest: Version,
+    is_joined: bool,
+}
+
+/// The controller's own state.
+struct Running {
+    cx: MembershipController,
+    state: Membership,
+    /// Names of the members to whom heartbeats were sent.
+    targets: HashMap<SocketAddr, NodeId>,
+    newest: Version,
+    published: Urgent,
+    is_changed: bool,
     answers_tx: Sender<PeerReply<Hello>>,
     answers: Receiver<PeerReply<Hello>>,
 }
 
-impl<P: Platform> Running<P> {
-    fn new(cx: MembershipController<P>) -> Self {
-        let (answers_tx, answers) = bounded(256);
-        let own = Arc::new(cx.own.clone());
-        let by_id = BTreeMap::from([(own.id.clone(), own)]);
+impl Running {
+    fn new(cx: MembershipController) -> Self {
+        // Bounded, so that answers that this thread cannot take in time hold back their links.
+        let (answers_tx, answers) = bounded(1024);
+        let now = Timestamp::from_system_clock();
+        let state = Membership::new(cx.own.clone(), now, rand::random());
         Self {
             cx,
-            by_id,
-            heard: BTreeMap::new(),
-            floor: Version::NONE,
-            is_registered: false,
+            state,
+            targets: HashMap::new(),
+            newest: Version::NONE,
+            published: Urgent::default(),
+            is_changed: true,
             answers_tx,
             answers,
         }
     }
 
     fn run(mut self, stop: &Receiver<()>) {
-        let ticks = tick(HEARTBEAT_INTERVAL);
-        let drains_woken = self.cx.drains.subscribe();
-        self.beat();
+        let ticks = tick(TICK);
         self.publish();
         loop {
             select! {
                 recv(stop) -> _ => return,
                 recv(self.cx.heartbeats) -> req => match req {
-                    Ok(req) => {
-                        self.merge(&req.hello);
-                        req.reply.send(self.hello());
-                    }
+                    Ok(req) => self.answer(req),
                     Err(_) => return,
                 },
                 recv(self.answers) -> reply => match reply {
-                    Ok(PeerReply { result: Ok(hello), .. }) => self.merge(&hello),
-                    Ok(PeerReply { addr, result: Err(err) }) => {
-                        debug!("member: no heartbeat from {addr}: {err}");
-                    }
+                    Ok(reply) => self.take_answer(reply),
                     Err(_) => return,
                 },
-                recv(drains_woken) -> _ => self.announce_own_state(),
-                recv(ticks) -> _ => self.beat(),
+                recv(self.cx.contacts) -> contacts => match contacts {
+                    Ok(contacts) => self.learn(&contacts),
+                    Err(_) => return,
+                },
+                recv(ticks) -> _ => self.tick(),
+            }
+            if self.urgent() != self.published {
+                self.publish();
             }
-            self.publish();
         }
     }
 
-    fn hello(&self) -> Hello {
+    fn held(&self) -> HeldVersion {
         let config = self.cx.config.load();
-        let held = config.as_ref().as_ref();
-        Hello {
-            node: self.cx.own.id.clone(),
-            incarnation: self.cx.own.incarnation,
-            version: held.map_or(Version::NONE, |config| config.version),
-            digest: held.map_or(Digest::default(), |config| config.digest()),
-            records: self
-                .by_id
-                .values()
-                .map(|record| MemberRecord::clone(record))
-                .collect(),
-            suspects: Vec::new(),
-            held_by_receiver: Version::NONE,
-            in_flight: 0,
-            limit: 0,
-            reports: Vec::new(),
-        }
+        let held = config.as_ref().as_ref().map(|config| HeldVersion {
+            version: config.version,
+            digest: config.digest(),
+        });
+        held.unwrap_or_default()
     }
 
-    fn merge(&mut self, hello: &Hello) {
-        let at = Timestamp::from_system_clock();
-        let heard = HeardVersion {
-            version: hello.version,
-            digest: hello.digest,
-            at,
+    fn answer(&mut self, req: HeartbeatRequest) {
+        let now = Timestamp::from_system_clock();
+        self.receive(&req.hello, now);
+        let (peer, held) = (&req.hello.node, self.held());
+        let has_introduced = req.hello.records.iter().any(|record| record.id == *peer);
+        let hello = match has_introduced && !self.state.is_linked(peer) {
+            true => self.state.introduction_for(peer, held, now),
+            false => self.state.hello_for(Some(peer), held, now),
         };
-        self.heard.insert(hello.node.clone(), heard);
-        self.floor = self.floor.max(hello.held_by_receiver);
-        for record in &hello.records {
-            let is_news = self
-                .by_id
-                .get(&record.id)
-                .is_none_or(|present| record.supersedes(present));
-            if is_news && record.id != self.cx.own.id {
-                self.by_id
-                    .insert(record.id.clone(), Arc::new(record.clone()));
+        req.reply.send(hello);
+    }
+
+    fn take_answer(&mut self, reply: PeerReply<Hello>) {
+        let now = Timestamp::from_system_clock();
+        match reply.result {
+            Ok(hello) => self.receive(&hello, now),
+            Err(err) => {
+                debug!("member: no heartbeat from {}: {err}", reply.addr);
+                if let Some(id) = self.targets.get(&reply.addr) {
+                    self.state.no_answer(id, now);
+                }
             }
         }
     }
 
-    fn beat(&mut self) {
-        if !self.is_registered {
-            self.register();
+    fn receive(&mut self, hello: &Hello, now: Timestamp) {
+        self.newest = self.newest.max(hello.version);
+        let events = self.state.receive(hello, now);
+        self.is_changed = true;
+        self.report(&events, now);
+    }
+
+    fn learn(&mut self, contacts: &[MemberRecord]) {
+        let now = Timestamp::from_system_clock();
+        let events = self.state.learn(contacts, now);
+        self.is_changed |= !events.is_empty();
+    }
+
+    fn tick(&mut self) {
+        let now = Timestamp::from_system_clock();
+        self.update_own(now);
+        let held = self.held();
+        let actions = self.state.tick(held, now, rand::random());
+        self.is_changed |= !actions.events.is_empty();
+        self.report(&actions.events, now);
+        for target in actions.heartbeats {
+            let mut hello = self.state.hello_for(Some(&target.id), held, now);
+            hello.reports.extend(target.report);
+            self.targets.insert(target.addr, target.id);
+            self.send(target.addr, hello);
+        }
+        if actions.reads_contacts {
+            self.find_peers(held, now);
         }
-        let addrs: Vec<SocketAddr> = self.others().map(|record| record.peer_addr).collect();
-        for addr in addrs {
-            let hello = Box::new(self.hello());
-            let done = self.answers_tx.clone();
-            self.cx
-                .links
-                .send(addr, PeerCommand::Heartbeat { hello, done });
+        if let Some(status) = actions.status {
+            let _ = self.cx.jobs.try_send(ZoneJob::Status(status));
+        }
+        self.targets.retain(|_, id| self.state.record(id).is_some());
+        if self.is_changed {
+            self.publish();
         }
     }
 
-    /// Announces a change of this server's own state at once.
-    fn announce_own_state(&mut self) {
-        let state = self.cx.drains.load().own_state();
-        let present = self.by_id.get(&self.cx.own.id);
-        let Some(present) = present.filter(|record| record.state != state) else {
-            return;
+    /// Says what this daemon's own state is: it serves once a configuration is in force.
+    fn update_own(&mut self, now: Timestamp) {
+        let config = self.cx.config.load();
+        let state = match (config.as_ref(), self.cx.drains.load().is_leaving()) {
+            (_, true) => MemberState::Leaving,
+            (Some(_), false) => MemberState::Serving,
+            (None, false) => MemberState::Starting,
         };
-        let mut own = MemberRecord::clone(present);
-        own.state = state;
-        own.seq += 1;
-        self.by_id.insert(own.id.clone(), Arc::new(own));
-        self.beat();
+        let service = self.state.own().service.as_str();
+        let services = config
+            .as_ref()
+            .as_ref()
+            .map(|config| config.mesh.services());
+        let slots = services.and_then(|services| services.get(service));
+        let slots = slots.map_or(self.state.own().slots, |service| service.slots);
+        self.is_changed |= self.state.set_own(state, slots, now);
     }
 
-    fn others(&self) -> impl Iterator<Item = &Arc<MemberRecord>> {
-        self.by_id
-            .values()
-            .filter(|record| record.id != self.cx.own.id)
+    fn find_peers(&mut self, held: HeldVersion, now: Timestamp) {
+        let failed = self.state.failed();
+        let own = self.state.own().clone();
+        let _ = self.cx.jobs.try_send(ZoneJob::Contacts { own, failed });
+        for addr in self.cx.first_peers.clone() {
+            let hello = self.state.hello_for(None, held, now);
+            self.send(addr, hello);
+        }
     }
 
-    /// Adds this daemon to its zone's contacts and learns those of all zones.
-    fn register(&mut self) {
-        match self.try_register() {
-            Ok(()) => self.is_registered = true,
-            Err(err) => warn!("member: cannot register: {err}"),
-        }
+    fn send(&self, addr: SocketAddr, hello: Hello) {
+        let command = PeerCommand::Heartbeat {
+            hello: Box::new(hello),
+            done: self.answers_tx.clone(),
+        };
+        self.cx.links.send(addr, command);
     }
 
-    fn try_register(&mut self) -> Result<(), lavenderhatch_platform::PlatformError> {
-        let own_name = format!("{CONTACTS_PREFIX}{}", self.cx.own.zone);
-        for meta in self.cx.platform.list(CONTACTS_PREFIX)? {
-            if let Some(object) = self.cx.platform.get(&meta.name)? {
-                self.learn_contacts(&object.value);
-            }
-        }
-        let object = self.cx.platform.get(&own_name)?;
-        if let Some(object) = &object {
-            self.learn_contacts(&object.value);
+    fn report(&self, events: &[MemberEvent], now: Timestamp) {
+        for event in events {
+            let reason = match (event.is_failure(), event.is_return()) {
+                (true, _) => format!("is {:?}", event.record.state).to_lowercase(),
+                (_, true) => "is back".to_owned(),
+                _ => continue,
+            };
+            info!("member: {} {reason}", event.record.id);
+            self.cx.audit.send(AuditEvent {
+                at: now,
+                actor: self.cx.own.id.to_string(),
+                action: AuditAction::MemberChanged,
+                object: event.record.id.to_string(),
+                from: None,
+                to: None,
+                reason,
+            });
         }
-        let mut contacts: Vec<MemberRecord> = object
-            .as_ref()
-            .and_then(|object| serde_json::from_slice(&object.value).ok())
-            .unwrap_or_default();
-        contacts.retain(|record| record.id != self.cx.own.id);
-        contacts.insert(0, self.cx.own.clone());
-        contacts.truncate(MAX_CONTACTS);
-        let value = serde_json::to_vec(&contacts).unwrap_or_default();
-        let expected = object.map_or(Expected::Absent, |object| Expected::Version(object.version));
-        self.cx
-            .platform
-            .put(&own_name, &value, expected)
-            .map(|_| ())
     }
 
-    fn learn_contacts(&mut self, value: &[u8]) {
-        let contacts: Vec<MemberRecord> = serde_json::from_slice(value).unwrap_or_default();
-        for record in contacts
-            .into_iter()
-            .filter(|record| record.id != self.cx.own.id)
-        {
-            let present = self.by_id.get(&record.id);
-            if present.is_none_or(|present| record.supersedes(present)) {
-                self.by_id.insert(record.id.clone(), Arc::new(record));
-            }
+    fn urgent(&self) -> Urgent {
+        Urgent {
+            floor: self.state.floor(),
+            newest: self.newest,
+            is_joined: self.state.is_joined(),
         }
     }
 
-    fn publish(&self) {
-        let links = self.others().map(|record| record.id.clone()).collect();
-        self.cx.members.publish(Members {
-            by_id: self.by_id.clone(),
-            links,
-            heard: self.heard.clone(),
-            floor: self.floor,
-            is_joined: self.is_registered,
-        });
+    fn publish(&mut self) {
+        self.published = self.urgent();
+        self.is_changed = false;
+        let now = Timestamp::from_system_clock();
+        self.cx.members.publish(self.state.view(now));
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
+++ b/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
@@ -2,21 +2,27 @@
 
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, after, bounded, never, select};
 use eyre::Result;
-use lavenderhatch_decide::acceptance::{ROOT_NAME, RootContent, RootObject};
+use lavenderhatch_core::MemberRecord;
+use lavenderhatch_core::blackboard::SectionReader;
+use lavenderhatch_core::member::Members;
+use lavenderhatch_decide::acceptance::{PART_PREFIX, ROOT_NAME, RootContent, RootObject};
+use lavenderhatch_decide::distribution::{
+    ReaderRole, isolated_interval, reader_backoff, reader_role,
+};
+use lavenderhatch_decide::membership::join_delay;
 use lavenderhatch_decide::message::Whole;
 use lavenderhatch_platform::{Object, Platform, PlatformError};
 use tracing::{info, warn};
 
 use super::handle::ControllerHandle;
 
-/// Longest wait of one watch. Bounds the time in which a reader notices that it is to end.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Wait after the first failed call.
-const MIN_BACKOFF: Duration = Duration::from_millis(500);
-/// Longest wait after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_secs(10);
+/// Longest wait of one watch. Bounds the time in which a reader notices that others read.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after the first read in which a daemon that starts may learn of other members, so that not
+/// every daemon of a fleet that starts watches for a moment.
+const JOIN_TIME: Duration = Duration::from_secs(2);
 
 /// What the platform says about the accepted configuration.
 #[derive(Clone, Debug)]
@@ -27,65 +33,157 @@
     Empty,
 }
 
-/// Watches the root object.
+/// Reads the root object as often as this daemon's role asks.
 #[derive(Debug)]
-pub struct PlatformReader;
+pub struct PlatformReader<P> {
+    /// Record of this daemon.
+    pub own: MemberRecord,
+    /// The platform.
+    pub platform: P,
+    /// Known members.
+    pub members: SectionReader<Members>,
+    /// Where what was read goes.
+    pub news: Sender<RootNews>,
+}
 
-impl PlatformReader {
-    /// Starts a thread that watches the root object and reports what it reads.
-    pub fn spawn<P: Platform>(platform: P, news: Sender<RootNews>) -> Result<ControllerHandle> {
-        ControllerHandle::spawn("platform-reader", move |stop| run(&stop, &platform, &news))
+impl<P: Platform> PlatformReader<P> {
+    /// Starts the thread.
+    pub fn spawn(self) -> Result<ControllerHandle> {
+        let running = Running {
+            cx: self,
+            seen: 0,
+            failures: 0,
+        };
+        ControllerHandle::spawn("platform-reader", move |stop| running.run(&stop))
+            .map(ControllerHandle::detached)
     }
 }
 
-fn run<P: Platform>(stop: &Receiver<()>, platform: &P, news: &Sender<RootNews>) {
-    let mut seen = 0;
-    let mut backoff = MIN_BACKOFF;
-    let mut is_first = true;
-    while !matches!(stop.try_recv(), Err(TryRecvError::Disconnected)) {
-        let read = match is_first {
-            true => platform.get(ROOT_NAME),
-            false => platform.watch(ROOT_NAME, seen, WATCH_TIMEOUT),
-        };
-        match read.and_then(|object| report(platform, object, is_first, &mut seen, news)) {
-            Ok(()) => {
-                is_first = false;
-                backoff = MIN_BACKOFF;
+struct Running<P> {
+    cx: PlatformReader<P>,
+    /// Version of the object that was read last.
+    seen: u64,
+    /// Failed calls in a row.
+    failures: u32,
+}
+
+impl<P: Platform> Running<P> {
+    fn run(mut self, stop: &Receiver<()>) {
+        if !is_passed(stop, join_delay(0, rand::random())) || !self.read_first(stop) {
+            return;
+        }
+        if !is_passed(stop, JOIN_TIME) {
+            return;
+        }
+        let woken = self.cx.members.subscribe();
+        loop {
+            let role = self.role();
+            let wait = match role {
+                ReaderRole::Watch => Some(self.watch()),
+                ReaderRole::Isolated => Some(self.read_alone()),
+                ReaderRole::Idle => None,
+            };
+            if !self.rest(stop, &woken, role, wait) {
+                return;
             }
-            Err(err) => {
-                warn!("platform: cannot read the root object: {err}");
-                let _ = stop.recv_timeout(backoff);
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
+    /// Waits for `wait`, or for another role. Returns whether to go on.
+    fn rest(
+        &self,
+        stop: &Receiver<()>,
+        woken: &Receiver<()>,
+        role: ReaderRole,
+        wait: Option<Duration>,
+    ) -> bool {
+        let timer = wait.map_or_else(never, after);
+        loop {
+            select! {
+                recv(stop) -> _ => return false,
+                recv(timer) -> _ => return true,
+                recv(woken) -> wake => match wake {
+                    Ok(()) if self.role() == role => {}
+                    wake => return wake.is_ok(),
+                },
             }
         }
     }
-}
 
-fn report<P: Platform>(
-    platform: &P,
-    object: Option<Object>,
-    is_first: bool,
-    seen: &mut u64,
-    news: &Sender<RootNews>,
-) -> Result<(), PlatformError> {
-    let Some(object) = object else {
-        if is_first {
-            let _ = news.send(RootNews::Empty);
+    fn role(&self) -> ReaderRole {
+        reader_role(&self.cx.members.load(), &self.cx.own)
+    }
+
+    /// Reads the root object once at the start, before any peer has answered. Returns whether to
+    /// go on.
+    fn read_first(&mut self, stop: &Receiver<()>) -> bool {
+        loop {
+            let read = self.cx.platform.get(ROOT_NAME);
+            let is_empty = matches!(read, Ok(None));
+            let Some(wait) = self.take(read) else {
+                if is_empty {
+                    let _ = self.cx.news.send(RootNews::Empty);
+                }
+                return true;
+            };
+            if !self.cx.members.load().heard.is_empty() {
+                // Peers have answered; reading goes on according to the role.
+                return true;
+            }
+            if !is_passed(stop, wait) {
+                return false;
+            }
         }
-        return Ok(());
-    };
-    let unreadable = |err: serde_json::Error| PlatformError::BadAnswer(err.to_string());
-    let root: RootObject = serde_json::from_slice(&object.value).map_err(unreadable)?;
-    let mesh = read_content(platform, &root.content)?;
-    info!("platform: version {} read", root.version);
-    let whole = Whole {
-        version: root.version,
-        digest: root.digest,
-        mesh,
-    };
-    *seen = object.version;
-    let _ = news.send(RootNews::Whole(whole));
-    Ok(())
+    }
+
+    /// Watches once. Returns the wait before the next call.
+    fn watch(&mut self) -> Duration {
+        let read = self.cx.platform.watch(ROOT_NAME, self.seen, WATCH_TIMEOUT);
+        self.take(read).unwrap_or_default()
+    }
+
+    /// Reads once as an isolated daemon. Returns the wait before the next call.
+    fn read_alone(&mut self) -> Duration {
+        let read = self.cx.platform.get(ROOT_NAME);
+        let members = self.cx.members.load().by_id.len();
+        let pause = isolated_interval(members, rand::random());
+        self.take(read).unwrap_or(pause).max(pause)
+    }
+
+    /// Reports what was read. Returns the wait after a failure.
+    fn take(&mut self, read: Result<Option<Object>, PlatformError>) -> Option<Duration> {
+        let result = read.and_then(|object| self.report(object));
+        let Err(err) = result else {
+            self.failures = 0;
+            return None;
+        };
+        warn!("platform: cannot read the root object: {err}");
+        self.failures = self.failures.saturating_add(1);
+        Some(reader_backoff(self.failures, rand::random()))
+    }
+
+    fn report(&mut self, object: Option<Object>) -> Result<(), PlatformError> {
+        let Some(object) = object.filter(|object| object.version != self.seen) else {
+            return Ok(());
+        };
+        let unreadable = |err: serde_json::Error| PlatformError::BadAnswer(err.to_string());
+        let root: RootObject = serde_json::from_slice(&object.value).map_err(unreadable)?;
+        let mesh = read_content(&self.cx.platform, &root.content)?;
+        info!("platform: version {} read", root.version);
+        let whole = Whole {
+            version: root.version,
+            digest: root.digest,
+            mesh,
+        };
+        self.seen = object.version;
+        let _ = self.cx.news.send(RootNews::Whole(whole));
+        Ok(())
+    }
+}
+
+/// Waits. Returns false if the thread is to end first.
+fn is_passed(stop: &Receiver<()>, wait: Duration) -> bool {
+    matches!(stop.recv_timeout(wait), Err(RecvTimeoutError::Timeout))
 }
 
 fn read_content<P: Platform>(
@@ -98,7 +196,7 @@
     };
     let mut mesh = Vec::new();
     for digest in digests {
-        let name = format!("{}{digest}", lavenderhatch_decide::acceptance::PART_PREFIX);
+        let name = format!("{PART_PREFIX}{digest}");
         let part = platform.get(&name)?;
         let part = part.ok_or_else(|| PlatformError::BadAnswer(format!("{name} is missing")))?;
         mesh.extend_from_slice(&part.value);
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/zone_objects.rs
@@ -0,0 +1,137 @@
+//! Reads and writes the contacts and the status of the zone in the platform.
+//!
+//! The membership controller decides what is read and written. The calls have a thread of their
+//! own, because a slow platform must not delay heartbeats.
+
+use std::collections::BTreeSet;
+
+use crossbeam::channel::{Receiver, Sender, bounded, select};
+use eyre::Result;
+use lavenderhatch_core::{MemberRecord, NodeId, Zone};
+use lavenderhatch_decide::membership::{
+    CONTACTS_PREFIX, ZoneStatus, contacts_name, contacts_with, status_name,
+};
+use lavenderhatch_platform::{Expected, Object, Platform, PlatformError};
+use tracing::{debug, warn};
+
+use super::handle::ControllerHandle;
+
+/// What is to be read or written.
+#[derive(Clone, Debug)]
+pub enum ZoneJob {
+    /// Read the contacts of the zone and be among them.
+    Contacts {
+        /// Record of this daemon.
+        own: MemberRecord,
+        /// Members that this daemon takes for failed.
+        failed: BTreeSet<NodeId>,
+    },
+    /// Write the status of the zone.
+    Status(ZoneStatus),
+}
+
+/// The thread that calls the platform for the membership controller.
+#[derive(Debug)]
+pub struct ZoneObjects<P> {
+    /// The platform.
+    pub platform: P,
+    /// What is to be done.
+    pub jobs: Receiver<ZoneJob>,
+    /// Where the contacts go.
+    pub contacts: Sender<Vec<MemberRecord>>,
+}
+
+impl<P: Platform> ZoneObjects<P> {
+    /// The queue of jobs. A job that meets a full queue is dropped; it comes again later.
+    pub fn queue() -> (Sender<ZoneJob>, Receiver<ZoneJob>) {
+        bounded(2)
+    }
+
+    /// The queue of contacts that were read.
+    pub fn contacts() -> (Sender<Vec<MemberRecord>>, Receiver<Vec<MemberRecord>>) {
+        bounded(2)
+    }
+
+    /// Starts the thread.
+    pub fn spawn(self) -> Result<ControllerHandle> {
+        ControllerHandle::spawn("zone-objects", move |stop| self.run(&stop))
+            .map(ControllerHandle::detached)
+    }
+
+    fn run(self, stop: &Receiver<()>) {
+        let mut written: Option<ZoneStatus> = None;
+        loop {
+            let job = select! {
+                recv(stop) -> _ => return,
+                recv(self.jobs) -> job => job,
+            };
+            match job {
+                Ok(ZoneJob::Contacts { own, failed }) => self.join(&own, &failed),
+                Ok(ZoneJob::Status(status)) if written.as_ref() == Some(&status) => {}
+                Ok(ZoneJob::Status(status)) => match self.write_status(&status) {
+                    Ok(()) => written = Some(status),
+                    Err(err) => warn!("member: cannot write the status of the zone: {err}"),
+                },
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn join(&self, own: &MemberRecord, failed: &BTreeSet<NodeId>) {
+        match self.try_join(own, failed) {
+            Ok(contacts) => drop(self.contacts.send(contacts)),
+            Err(err) => warn!("member: cannot read the contacts: {err}"),
+        }
+    }
+
+    fn try_join(
+        &self,
+        own: &MemberRecord,
+        failed: &BTreeSet<NodeId>,
+    ) -> Result<Vec<MemberRecord>, PlatformError> {
+        let name = contacts_name(&own.zone);
+        let object = self.platform.get(&name)?;
+        let list = object.as_ref().map(read_contacts).unwrap_or_default();
+        if let Some(list) = contacts_with(&list, own, |id| failed.contains(id)) {
+            self.write_contacts(&name, &list, object.as_ref());
+        }
+        let is_other = |record: &MemberRecord| record.id != own.id;
+        if list.iter().any(is_other) {
+            return Ok(list);
+        }
+        self.read_other_zones(&own.zone)
+    }
+
+    fn read_other_zones(&self, own: &Zone) -> Result<Vec<MemberRecord>, PlatformError> {
+        let own = contacts_name(own);
+        let mut contacts = Vec::new();
+        for meta in self.platform.list(CONTACTS_PREFIX)? {
+            if meta.name != own {
+                let object = self.platform.get(&meta.name)?;
+                contacts.extend(object.as_ref().map(read_contacts).unwrap_or_default());
+            }
+        }
+        Ok(contacts)
+    }
+
+    fn write_contacts(&self, name: &str, list: &[MemberRecord], object: Option<&Object>) {
+        let value = serde_json::to_vec(list).unwrap_or_default();
+        let expected = object.map_or(Expected::Absent, |object| Expected::Version(object.version));
+        if let Err(err) = self.platform.put(name, &value, expected) {
+            // Another daemon of the zone has written. That daemon is a contact now.
+            debug!("member: not among the contacts: {err}");
+        }
+    }
+
+    fn write_status(&self, status: &ZoneStatus) -> Result<(), PlatformError> {
+        let name = status_name(&status.zone);
+        let object = self.platform.get(&name)?;
+        let expected = object.map_or(Expected::Absent, |object| Expected::Version(object.version));
+        let value = serde_json::to_vec(status).unwrap_or_default();
+        self.platform.put(&name, &value, expected).map(drop)
+    }
+}
+
+fn read_contacts(object: &Object) -> Vec<MemberRecord> {
+    serde_json::from_slice(&object.value).unwrap_or_default()
+}
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -15,17 +15,15 @@
 use crate::admin::AdminPort;
 use crate::controller::{
     AuditController, ControllerHandle, DistributionController, EndpointController, LeaveSender,
-    MembershipController, PlatformReader, StopController,
+    MembershipController, PlatformReader, StopController, ZoneObjects,
 };
-use crate::peer::{Inboxes, PeerLinks, PeerPort};
+use crate::peer::{ControlTraffic, Inboxes, PeerLinks, PeerPort};
 use crate::request::{CallerPort, CarryWorkers, HttpBackend, RequestPath};
 
 /// Requests of peers that wait for a controller. More are refused.
 const CONTROL_QUEUE: usize = 1024;
 /// Calls of peers that wait for a thread. More are refused.
 const CARRY_QUEUE: usize = 4096;
-/// Threads that run calls of peers.
-const CARRY_THREADS: usize = 32;
 /// Slots of a backend server whose service is not described yet.
 const DEFAULT_SLOTS: u32 = 12;
 
@@ -53,10 +51,18 @@
             orders,
             carry,
         };
-        PeerPort::bind(settings.peer_addr, settings.peer_threads, &inboxes)?;
-        let links = PeerLinks::spawn(settings.peer_threads)?;
+        let traffic = ControlTraffic::default();
+        PeerPort::bind(
+            settings.peer_addr,
+            settings.peer_threads,
+            &inboxes,
+            &traffic,
+        )?;
+        let links = PeerLinks::spawn(settings.peer_threads, &traffic)?;
         let (audit, events) = AuditController::channel();
         let (news_tx, news) = crate::controller::news_channel();
+        let (jobs_tx, zone_jobs) = ZoneObjects::<P>::queue();
+        let (contacts_tx, contacts) = ZoneObjects::<P>::contacts();
         let (leave, leaves) = StopController::channel();
         let controllers = vec![
             AuditController::spawn(events, writers.audit)?,
@@ -70,13 +76,16 @@
             }
             .spawn()?,
             MembershipController {
-                own,
-                platform: platform.clone(),
+                own: own.clone(),
+                first_peers: settings.first_peers.clone(),
                 config: board.config.clone(),
                 drains: board.drains.clone(),
                 members: writers.members,
                 heartbeats,
+                jobs: jobs_tx,
+                contacts,
                 links: links.clone(),
+                audit: audit.clone(),
             }
             .spawn()?,
             EndpointController {
@@ -97,12 +106,24 @@
                 audit,
             }
             .spawn()?,
-            PlatformReader::spawn(platform, news_tx)?,
+            PlatformReader {
+                own,
+                platform: platform.clone(),
+                members: board.members.clone(),
+                news: news_tx,
+            }
+            .spawn()?,
+            ZoneObjects {
+                platform,
+                jobs: zone_jobs,
+                contacts: contacts_tx,
+            }
+            .spawn()?,
         ];
         let backend = HttpBackend::open(settings.backend_addr);
         let path = RequestPath::new(settings.node.clone(), board.clone(), backend, links);
         let path = Arc::new(path);
-        CarryWorkers::spawn(CARRY_THREADS, &jobs, &path)?;
+        CarryWorkers::spawn(settings.carry_threads, &jobs, &path)?;
         let callers = CallerPort::bind(
             settings.caller_addr,
             settings.max_connections,
@@ -115,6 +136,7 @@
             settings.node.clone(),
             board.clone(),
             Registry::new(),
+            traffic,
         )?;
         info!(
             "daemon: {} takes calls on {}",
--- a/crates/lavenderhatch-daemon/src/peer.rs
+++ b/crates/lavenderhatch-daemon/src/peer.rs
@@ -10,9 +10,11 @@
 mod links;
 mod port;
 mod service;
+mod traffic;
 
 pub use command::{PeerCommand, PeerReply};
 pub use error::PeerError;
 pub use inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
 pub use links::PeerLinks;
 pub use port::PeerPort;
+pub use traffic::{ControlBytes, ControlTraffic};
--- a/crates/lavenderhatch-daemon/src/peer/command.rs
+++ b/crates/lavenderhatch-daemon/src/peer/command.rs
@@ -39,6 +39,8 @@
         /// Digest of its mesh.
         digest: Digest,
     },
+    /// Closes the connection for control messages.
+    Close,
     /// Asks for an update.
     Update {
         /// What is asked for.
--- a/crates/lavenderhatch-daemon/src/peer/connection.rs
+++ b/crates/lavenderhatch-daemon/src/peer/connection.rs
@@ -18,6 +18,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::error::PeerError;
+use super::traffic::{ConnectionTraffic, ControlTraffic, Counted};
 
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,12 +36,26 @@
 type Link = Rc<OnceCell<peer::Client>>;
 
 /// Open connections by address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Connections {
+    /// Counts the bytes of these connections.
+    traffic: ControlTraffic,
     links: Rc<RefCell<HashMap<SocketAddr, Link>>>,
 }
 
 impl Connections {
+    pub(super) fn new(traffic: &ControlTraffic) -> Self {
+        Self {
+            traffic: traffic.clone(),
+            links: Rc::default(),
+        }
+    }
+
+    /// Closes the connection to a daemon once its calls have ended.
+    pub(super) fn close(&self, addr: SocketAddr) {
+        self.links.borrow_mut().remove(&addr);
+    }
+
     /// The client of a daemon; connects if there is no connection. Calls that arrive while the
     /// connection is being made wait for it.
     pub(super) async fn client(&self, addr: SocketAddr) -> Result<peer::Client, PeerError> {
@@ -57,9 +72,10 @@
         };
         stream.set_nodelay(true).map_err(not_sent)?;
         let (reader, writer) = stream.into_split();
+        let traffic = ConnectionTraffic::new(&self.traffic);
         let network = VatNetwork::new(
-            reader.compat(),
-            writer.compat_write(),
+            Counted::new(reader, &traffic).compat(),
+            Counted::new(writer, &traffic).compat_write(),
             Side::Client,
             reader_options(),
         );
--- a/crates/lavenderhatch-daemon/src/peer/inbox.rs
+++ b/crates/lavenderhatch-daemon/src/peer/inbox.rs
@@ -2,7 +2,7 @@
 
 use crossbeam::channel::Sender;
 use lavenderhatch_core::call::{CallAnswer, StoredCall};
-use lavenderhatch_core::{Digest, Version};
+use lavenderhatch_core::{Digest, NodeId, Version};
 use lavenderhatch_decide::message::{
     Claim, ClaimVerdict, Hello, OutcomeRecord, Update, UpdateRequest,
 };
@@ -44,6 +44,8 @@
 pub enum DistributionRequest {
     /// A peer announces a version.
     Announce {
+        /// The peer, if it has sent a heartbeat on the same connection.
+        from: Option<NodeId>,
         /// Version in force on the peer.
         version: Version,
         /// Digest of its mesh.
--- a/crates/lavenderhatch-daemon/src/peer/links.rs
+++ b/crates/lavenderhatch-daemon/src/peer/links.rs
@@ -24,6 +24,7 @@
 use super::command::{PeerCommand, PeerReply};
 use super::connection::Connections;
 use super::error::PeerError;
+use super::traffic::ControlTraffic;
 
 /// Time for the answer to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -45,12 +46,15 @@
 
 impl PeerLinks {
     /// Starts `threads` threads. Each daemon is served by one of them.
-    pub fn spawn(threads: usize) -> Result<Self> {
+    pub fn spawn(threads: usize, traffic: &ControlTraffic) -> Result<Self> {
         let mut queues = Vec::with_capacity(threads);
         for n in 0..threads.max(1) {
             let (tx, rx) = unbounded_channel();
             let name = format!("peer-link-{n}");
-            thread::Builder::new().name(name).spawn(move || run(rx))?;
+            let traffic = traffic.clone();
+            thread::Builder::new()
+                .name(name)
+                .spawn(move || run(rx, &traffic))?;
             queues.push(tx);
         }
         Ok(Self {
@@ -91,16 +95,22 @@
     }
 }
 
-fn run(rx: UnboundedReceiver<Addressed>) {
+fn run(rx: UnboundedReceiver<Addressed>, traffic: &ControlTraffic) {
     match Builder::new_current_thread().enable_all().build() {
-        Ok(rt) => LocalSet::new().block_on(&rt, serve(rx)),
+        Ok(rt) => LocalSet::new().block_on(&rt, serve(rx, traffic)),
         Err(err) => warn!("peer: cannot start the executor: {err}"),
     }
 }
 
-async fn serve(mut rx: UnboundedReceiver<Addressed>) {
-    let connections = Connections::default();
+async fn serve(mut rx: UnboundedReceiver<Addressed>, traffic: &ControlTraffic) {
+    // Calls have connections of their own, so that a heartbeat never waits behind a large body.
+    let control = Connections::new(traffic);
+    let calls = Connections::new(&ControlTraffic::default());
     while let Some(Addressed { addr, command }) = rx.recv().await {
+        let connections = match command {
+            PeerCommand::Carry { .. } => &calls,
+            _ => &control,
+        };
         spawn_local(execute(connections.clone(), addr, command));
     }
 }
@@ -125,6 +135,7 @@
             req.get().set_digest(digest.as_bytes());
             let _ = answer(HEARTBEAT_TIMEOUT, req.send().promise).await;
         }
+        PeerCommand::Close => connections.close(addr),
         PeerCommand::Update { req: asked, done } => {
             let result = async {
                 let mut req = connections.client(addr).await?.update_request();
--- a/crates/lavenderhatch-daemon/src/peer/port.rs
+++ b/crates/lavenderhatch-daemon/src/peer/port.rs
@@ -16,6 +16,7 @@
 use super::connection::reader_options;
 use super::inbox::Inboxes;
 use super::service::PeerService;
+use super::traffic::{ConnectionTraffic, ControlTraffic, Counted};
 
 /// A bound port for other daemons. Its threads end with the process.
 #[derive(Debug)]
@@ -25,17 +26,22 @@
 
 impl PeerPort {
     /// Binds the address and serves peers on `threads` threads.
-    pub fn bind(addr: SocketAddr, threads: usize, inboxes: &Inboxes) -> Result<Self> {
+    pub fn bind(
+        addr: SocketAddr,
+        threads: usize,
+        inboxes: &Inboxes,
+        traffic: &ControlTraffic,
+    ) -> Result<Self> {
         let listener = TcpListener::bind(addr).wrap_err_with(|| format!("cannot bind {addr}"))?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         for n in 0..threads {
             let listener = listener.try_clone()?;
-            let inboxes = inboxes.clone();
+            let (inboxes, traffic) = (inboxes.clone(), traffic.clone());
             let name = format!("peer-port-{n}");
             thread::Builder::new()
                 .name(name)
-                .spawn(move || serve(listener, inboxes))?;
+                .spawn(move || serve(listener, inboxes, traffic))?;
         }
         Ok(Self { addr })
     }
@@ -46,15 +52,15 @@
     }
 }
 
-fn serve(listener: TcpListener, inboxes: Inboxes) {
+fn serve(listener: TcpListener, inboxes: Inboxes, traffic: ControlTraffic) {
     let rt = match Builder::new_current_thread().enable_all().build() {
         Ok(rt) => rt,
         Err(err) => return warn!("peer: cannot start the executor: {err}"),
     };
-    LocalSet::new().block_on(&rt, accept_all(listener, inboxes));
+    LocalSet::new().block_on(&rt, accept_all(listener, inboxes, traffic));
 }
 
-async fn accept_all(listener: TcpListener, inboxes: Inboxes) {
+async fn accept_all(listener: TcpListener, inboxes: Inboxes, traffic: ControlTraffic) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(err) => return warn!("peer: cannot listen: {err}"),
@@ -62,7 +68,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, addr)) => {
-                spawn_local(serve_stream(stream, addr, inboxes.clone()));
+                let traffic = ConnectionTraffic::new(&traffic);
+                spawn_local(serve_stream(stream, addr, inboxes.clone(), traffic));
             }
             Err(err) => {
                 warn!("peer: cannot accept: {err}");
@@ -75,18 +82,23 @@
 /// Wait after a failed accept, which fails again at once while file descriptors are short.
 const ACCEPT_BACKOFF: std::time::Duration = std::time::Duration::from_millis(100);
 
-async fn serve_stream(stream: TcpStream, addr: SocketAddr, inboxes: Inboxes) {
+async fn serve_stream(
+    stream: TcpStream,
+    addr: SocketAddr,
+    inboxes: Inboxes,
+    traffic: ConnectionTraffic,
+) {
     if let Err(err) = stream.set_nodelay(true) {
         return debug!("peer: {addr} closed at once: {err}");
     }
     let (reader, writer) = stream.into_split();
     let network = VatNetwork::new(
-        reader.compat(),
-        writer.compat_write(),
+        Counted::new(reader, &traffic).compat(),
+        Counted::new(writer, &traffic).compat_write(),
         Side::Server,
         reader_options(),
     );
-    let client: peer::Client = capnp_rpc::new_client(PeerService::new(inboxes));
+    let client: peer::Client = capnp_rpc::new_client(PeerService::new(inboxes, traffic));
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     if let Err(err) = system.await {
         debug!("peer: link from {addr} ended: {err}");
--- a/crates/lavenderhatch-daemon/src/peer/service.rs
+++ b/crates/lavenderhatch-daemon/src/peer/service.rs
@@ -1,10 +1,11 @@
 //! The capnp-rpc service that other daemons call.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use capnp::Error;
 use crossbeam::channel::Sender;
-use lavenderhatch_core::Version;
+use lavenderhatch_core::{NodeId, Version};
 use lavenderhatch_decide::message::UpdateRequest;
 use lavenderhatch_wire::peer_capnp::peer;
 use lavenderhatch_wire::{
@@ -13,15 +14,23 @@
 };
 
 use super::inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
+use super::traffic::ConnectionTraffic;
 
 /// Checks each message and hands it to the thread that decides on it.
 pub(super) struct PeerService {
     inboxes: Inboxes,
+    traffic: ConnectionTraffic,
+    /// Who sent the last heartbeat on this connection.
+    peer: RefCell<Option<NodeId>>,
 }
 
 impl PeerService {
-    pub(super) fn new(inboxes: Inboxes) -> Self {
-        Self { inboxes }
+    pub(super) fn new(inboxes: Inboxes, traffic: ConnectionTraffic) -> Self {
+        Self {
+            inboxes,
+            traffic,
+            peer: RefCell::new(None),
+        }
     }
 }
 
@@ -32,6 +41,7 @@
         mut results: peer::HeartbeatResults,
     ) -> Result<(), Error> {
         let hello = read_hello(params.get()?.get_hello()?)?;
+        self.peer.replace(Some(hello.node.clone()));
         let make = |reply| HeartbeatRequest { hello, reply };
         let own = hand_over(&self.inboxes.heartbeats, make).await?;
         write_hello(&own, results.get().init_hello());
@@ -46,10 +56,13 @@
         let params = params.get()?;
         let version = Version(params.get_version());
         let digest = read_digest("digest", params.get_digest()?)?;
-        post(
-            &self.inboxes.distribution,
-            DistributionRequest::Announce { version, digest },
-        )
+        let from = self.peer.borrow().clone();
+        let req = DistributionRequest::Announce {
+            from,
+            version,
+            digest,
+        };
+        post(&self.inboxes.distribution, req)
     }
 
     async fn update(
@@ -72,6 +85,7 @@
         params: peer::CarryParams,
         mut results: peer::CarryResults,
     ) -> Result<(), Error> {
+        self.traffic.exclude();
         let call = read_call(params.get()?.get_call()?)?;
         drop(params);
         let answer = hand_over(&self.inboxes.carry, |reply| CarryJob { call, reply }).await?;
--- a/crates/lavenderhatch-files/src/field.rs
+++ b/crates/lavenderhatch-files/src/field.rs
@@ -28,6 +28,8 @@
     Boolean,
     /// A list of texts.
     TextList,
+    /// A list of `IP:PORT`.
+    AddressList,
     /// A list of URLs with at least one entry.
     UrlList,
     /// A time as in RFC 3339, stored in milliseconds since the Unix epoch.
@@ -133,6 +135,7 @@
         FieldType::Number => read_number(value, |text| text.parse::<f64>().ok().map(Json::from))
             .ok_or_else(|| value_fault("is not a number", "write a number such as 0.5")),
         FieldType::TextList => read_list(value, |_| Ok(())),
+        FieldType::AddressList => read_list(value, check_address),
         FieldType::UrlList => {
             let list = read_list(value, check_url)?;
             match list.as_array().is_some_and(|list| !list.is_empty()) {
--- a/crates/lavenderhatch-files/src/settings.rs
+++ b/crates/lavenderhatch-files/src/settings.rs
@@ -24,6 +24,8 @@
     Field::optional("max_connections", FieldType::Integer),
     Field::optional("idle_timeout_ms", FieldType::Integer),
     Field::optional("peer_threads", FieldType::Integer),
+    Field::optional("carry_threads", FieldType::Integer),
+    Field::optional("first_peers", FieldType::AddressList),
 ];
 
 /// Settings of a daemon, checked as a whole.
@@ -58,6 +60,12 @@
     /// Threads for the links to other daemons. Invariant: 1 to 64.
     #[serde(default = "default_peer_threads")]
     pub peer_threads: usize,
+    /// Threads that run calls of other daemons. Invariant: 1 to 4,096.
+    #[serde(default = "default_carry_threads")]
+    pub carry_threads: usize,
+    /// Peer addresses of daemons that are asked first, for a start while the platform is down.
+    #[serde(default)]
+    pub first_peers: Vec<SocketAddr>,
 }
 
 fn default_max_connections() -> usize {
@@ -72,6 +80,10 @@
     2
 }
 
+fn default_carry_threads() -> usize {
+    32
+}
+
 /// Parses and checks settings. On failure all faults are listed.
 pub fn parse_settings(source: &Source) -> Result<Settings, Vec<FileFault>> {
     let doc = Document::new(source);
@@ -102,14 +114,16 @@
 
 impl Settings {
     /// Keys with bounds, their bounds as text, and whether the value is within them.
-    fn ranges(&self) -> [(&'static str, &'static str, bool); 3] {
+    fn ranges(&self) -> [(&'static str, &'static str, bool); 4] {
         let connections = (1..=100_000).contains(&self.max_connections);
         let idle = (100..=600_000).contains(&self.idle_timeout_ms);
         let threads = (1..=64).contains(&self.peer_threads);
+        let carry = (1..=4096).contains(&self.carry_threads);
         [
             ("max_connections", "1 to 100000", connections),
             ("idle_timeout_ms", "100 to 600000", idle),
             ("peer_threads", "1 to 64", threads),
+            ("carry_threads", "1 to 4096", carry),
         ]
     }
 }
