Test decisions on membership and distribution over simulated failures

Change: a fleet of members in one process with the time as argument, and tables for older versions, bad digests, partial and dangling sets, missing bases, crossed and duplicated changes, lost announcements and answers, dead readers, paused members, a zone that is cut off, half of the fleet returning, and restarts with and without contacts. A daemon that starts takes the versions of its first peers as its floor, and a version read from the platform is noted by a peer before it is in force.

--- a/crates/lavenderhatch-daemon/src/controller/distribution.rs
+++ b/crates/lavenderhatch-daemon/src/controller/distribution.rs
@@ -22,6 +22,8 @@
 
 /// Time between two looks for a member that is ahead.
 const TICK: Duration = Duration::from_millis(100);
+/// Longest wait for a peer to note a version that was read from the platform.
+const NOTE_TIME: Duration = Duration::from_millis(300);
 
 /// What the controller is connected to.
 #[derive(Debug)]
@@ -49,6 +51,15 @@
     }
 }
 
+/// Where an update comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// A peer, which keeps the version.
+    Peer,
+    /// The platform. It may be that no other daemon knows of the version.
+    Platform,
+}
+
 /// The controller's own state.
 struct Running {
     cx: DistributionController,
@@ -59,11 +70,19 @@
     updates: Receiver<PeerReply<Update>>,
     /// The member that was asked last.
     asked: Option<(SocketAddr, NodeId)>,
+    /// A version that waits for a peer to note it, and until when.
+    ///
+    /// A daemon that puts a version in force before anyone else knows of it, and is then restarted
+    /// while the platform is down, would start with an older one.
+    pending: Option<(ConfigSnapshot, Timestamp)>,
+    noted_tx: Sender<PeerReply<Version>>,
+    noted: Receiver<PeerReply<Version>>,
 }
 
 impl Running {
     fn new(cx: DistributionController) -> Self {
         let (updates_tx, updates) = bounded(16);
+        let (noted_tx, noted) = bounded(256);
         Self {
             cx,
             log: DeltaLog::default(),
@@ -72,6 +91,9 @@
             updates_tx,
             updates,
             asked: None,
+            pending: None,
+            noted_tx,
+            noted,
         }
     }
 
@@ -86,7 +108,9 @@
                     Err(_) => return,
                 },
                 recv(self.cx.news) -> news => match news {
-                    Ok(RootNews::Whole(whole)) => drop(self.evaluate(&Update::Whole(whole))),
+                    Ok(RootNews::Whole(whole)) => {
+                        drop(self.evaluate(&Update::Whole(whole), Source::Platform));
+                    }
                     Ok(RootNews::Empty) => {}
                     Err(_) => return,
                 },
@@ -94,9 +118,14 @@
                     Ok(reply) => self.receive(reply),
                     Err(_) => return,
                 },
+                recv(self.noted) -> reply => match reply {
+                    Ok(reply) => self.take_note(reply),
+                    Err(_) => return,
+                },
                 recv(woken) -> _ => {}
                 recv(ticks) -> _ => {}
             }
+            self.put_overdue();
             self.pull();
         }
     }
@@ -111,7 +140,7 @@
         match req {
             DistributionRequest::Update { req, reply } => reply.send(self.answer(&req)),
             DistributionRequest::Announce { from, version, .. } => {
-                if let Some(from) = from.filter(|_| version > self.held()) {
+                if version > self.held() {
                     let now = Timestamp::from_system_clock();
                     self.puller.announce(&from, version, now);
                 }
@@ -160,7 +189,7 @@
             return;
         };
         let result = match reply.result {
-            Ok(update) => self.evaluate(&update).unwrap_or_else(|_| {
+            Ok(update) => self.evaluate(&update, Source::Peer).unwrap_or_else(|_| {
                 self.cx.links.send(addr, PeerCommand::Close);
                 PullResult::Refused
             }),
@@ -174,15 +203,12 @@
     }
 
     /// Decides on an update and puts it in force if it is sound and new.
-    fn evaluate(&mut self, update: &Update) -> Result<PullResult, Refusal> {
+    fn evaluate(&mut self, update: &Update, source: Source) -> Result<PullResult, Refusal> {
         let now = Timestamp::from_system_clock();
-        let held = self.cx.config.load();
         let floor = self.cx.members.load().floor;
-        let decision = evaluate_update(held.as_ref().as_ref(), floor, update, now);
-        drop(held);
-        match decision {
+        match evaluate_update(self.log.snapshot(), floor, update, now) {
             Ok(Step::Apply(snapshot)) => {
-                self.apply(snapshot);
+                self.take(snapshot, source, now);
                 Ok(PullResult::Done)
             }
             Ok(Step::Keep) => Ok(PullResult::Nothing),
@@ -196,25 +222,61 @@
         }
     }
 
-    fn apply(&mut self, snapshot: ConfigSnapshot) {
-        let from = self.held();
-        let (version, digest) = (snapshot.version, snapshot.digest());
-        info!("config: version {version} is in force, after {from}");
-        let now = snapshot.applied_at;
+    /// Serves and announces a version, and puts it in force.
+    fn take(&mut self, snapshot: ConfigSnapshot, source: Source, now: Timestamp) {
         self.log.push(&snapshot);
+        let addrs = self.addrs_behind(snapshot.version);
+        let waits = source == Source::Platform && !addrs.is_empty();
+        for addr in addrs {
+            let command = PeerCommand::Announce {
+                version: snapshot.version,
+                digest: snapshot.digest(),
+                done: self.noted_tx.clone(),
+            };
+            self.cx.links.send(addr, command);
+        }
+        self.pending = Some((snapshot, now + NOTE_TIME));
+        if !waits {
+            self.put_pending();
+        }
+    }
+
+    fn take_note(&mut self, reply: PeerReply<Version>) {
+        let pending = self.pending.as_ref().map(|(snapshot, _)| snapshot.version);
+        if pending.is_some() && pending == reply.result.ok() {
+            self.put_pending();
+        }
+    }
+
+    /// Puts the version in force that waits to be noted, also if nobody has answered in time.
+    fn put_overdue(&mut self) {
+        let now = Timestamp::from_system_clock();
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|(_, until)| now >= *until)
+        {
+            self.put_pending();
+        }
+    }
+
+    fn put_pending(&mut self) {
+        let Some((mut snapshot, _)) = self.pending.take() else {
+            return;
+        };
+        let now = Timestamp::from_system_clock();
+        snapshot.applied_at = now;
+        let to = snapshot.version;
+        let before = self.cx.config.load();
+        let from = before
+            .as_ref()
+            .as_ref()
+            .map_or(Version::NONE, |c| c.version);
+        drop(before);
+        info!("config: version {to} is in force, after {from}");
         self.cx.config.publish(Some(snapshot));
         let reason = format!("after version {from}");
-        self.report(
-            AuditAction::VersionSwitched,
-            Some((from, version)),
-            reason,
-            now,
-        );
-        for addr in self.addrs_behind(version) {
-            self.cx
-                .links
-                .send(addr, PeerCommand::Announce { version, digest });
-        }
+        self.report(AuditAction::VersionSwitched, Some((from, to)), reason, now);
     }
 
     fn report(
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -18,7 +18,7 @@
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
 use super::zone_objects::ZoneJob;
-use crate::peer::{HeartbeatRequest, PeerCommand, PeerLinks, PeerReply};
+use crate::peer::{HeartbeatRequest, MemberRequest, PeerCommand, PeerLinks, PeerReply};
 
 /// Time between two ticks of the deciding functions.
 const TICK: Duration = Duration::from_millis(250);
@@ -36,8 +36,8 @@
     pub drains: SectionReader<Drains>,
     /// The section that this controller owns.
     pub members: SectionWriter<Members>,
-    /// Heartbeats of peers.
-    pub heartbeats: Receiver<HeartbeatRequest>,
+    /// Heartbeats and held versions of peers.
+    pub requests: Receiver<MemberRequest>,
     /// What is to be read from and written to the platform.
     pub jobs: Sender<ZoneJob>,
     /// Contacts that the platform names.
@@ -100,8 +100,11 @@
         loop {
             select! {
                 recv(stop) -> _ => return,
-                recv(self.cx.heartbeats) -> req => match req {
-                    Ok(req) => self.answer(req),
+                recv(self.cx.requests) -> req => match req {
+                    Ok(MemberRequest::Heartbeat(req)) => self.answer(req),
+                    Ok(MemberRequest::Held { node, version }) => {
+                        self.state.note_held(&node, version);
+                    }
                     Err(_) => return,
                 },
                 recv(self.answers) -> reply => match reply {
--- a/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
+++ b/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
@@ -8,10 +8,8 @@
 use lavenderhatch_core::blackboard::SectionReader;
 use lavenderhatch_core::member::Members;
 use lavenderhatch_decide::acceptance::{PART_PREFIX, ROOT_NAME, RootContent, RootObject};
-use lavenderhatch_decide::distribution::{
-    ReaderRole, isolated_interval, reader_backoff, reader_role,
-};
-use lavenderhatch_decide::membership::join_delay;
+use lavenderhatch_decide::distribution::{ReaderRole, reader_backoff, reader_role};
+use lavenderhatch_decide::membership::{isolated_interval, join_delay};
 use lavenderhatch_decide::message::Whole;
 use lavenderhatch_platform::{Object, Platform, PlatformError};
 use tracing::{info, warn};
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -41,12 +41,12 @@
     pub fn spawn<P: Platform + Clone>(settings: &Settings, platform: P) -> Result<Self> {
         let (board, writers) = Blackboard::open();
         let own = own_record(settings, Timestamp::from_system_clock());
-        let (heartbeats_tx, heartbeats) = bounded(CONTROL_QUEUE);
+        let (members_tx, member_requests) = bounded(CONTROL_QUEUE);
         let (distribution_tx, requests) = bounded(CONTROL_QUEUE);
         let (orders, _) = bounded(CONTROL_QUEUE);
         let (carry, jobs) = bounded(CARRY_QUEUE);
         let inboxes = Inboxes {
-            heartbeats: heartbeats_tx,
+            members: members_tx,
             distribution: distribution_tx,
             orders,
             carry,
@@ -81,7 +81,7 @@
                 config: board.config.clone(),
                 drains: board.drains.clone(),
                 members: writers.members,
-                heartbeats,
+                requests: member_requests,
                 jobs: jobs_tx,
                 contacts,
                 links: links.clone(),
--- a/crates/lavenderhatch-daemon/src/peer.rs
+++ b/crates/lavenderhatch-daemon/src/peer.rs
@@ -14,7 +14,9 @@
 
 pub use command::{PeerCommand, PeerReply};
 pub use error::PeerError;
-pub use inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
+pub use inbox::{
+    CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, MemberRequest, OrderRequest, Reply,
+};
 pub use links::PeerLinks;
 pub use port::PeerPort;
 pub use traffic::{ControlBytes, ControlTraffic};
--- a/crates/lavenderhatch-daemon/src/peer/command.rs
+++ b/crates/lavenderhatch-daemon/src/peer/command.rs
@@ -32,12 +32,14 @@
         /// Where the answer goes.
         done: Sender<PeerReply<Hello>>,
     },
-    /// Announces a version. There is no answer; the next heartbeat repeats it.
+    /// Announces a version. The next heartbeat repeats it.
     Announce {
-        /// Version in force on this daemon.
+        /// Version that this daemon holds.
         version: Version,
         /// Digest of its mesh.
         digest: Digest,
+        /// Where the word goes that the peer has noted the version.
+        done: Sender<PeerReply<Version>>,
     },
     /// Closes the connection for control messages.
     Close,
--- a/crates/lavenderhatch-daemon/src/peer/inbox.rs
+++ b/crates/lavenderhatch-daemon/src/peer/inbox.rs
@@ -30,6 +30,20 @@
     }
 }
 
+/// A request that concerns the membership.
+#[derive(Debug)]
+pub enum MemberRequest {
+    /// A heartbeat.
+    Heartbeat(HeartbeatRequest),
+    /// A peer announces the version that it is about to put in force.
+    Held {
+        /// The peer.
+        node: NodeId,
+        /// The version.
+        version: Version,
+    },
+}
+
 /// A heartbeat from another daemon.
 #[derive(Debug)]
 pub struct HeartbeatRequest {
@@ -44,8 +58,8 @@
 pub enum DistributionRequest {
     /// A peer announces a version.
     Announce {
-        /// The peer, if it has sent a heartbeat on the same connection.
-        from: Option<NodeId>,
+        /// The peer, as its heartbeats on the same connection name it.
+        from: NodeId,
         /// Version in force on the peer.
         version: Version,
         /// Digest of its mesh.
@@ -86,8 +100,8 @@
 /// Channels to the threads that decide on requests of peers.
 #[derive(Clone, Debug)]
 pub struct Inboxes {
-    /// Heartbeats, to the membership controller.
-    pub heartbeats: Sender<HeartbeatRequest>,
+    /// Heartbeats and held versions, to the membership controller.
+    pub members: Sender<MemberRequest>,
     /// Announcements and update requests, to the distribution controller.
     pub distribution: Sender<DistributionRequest>,
     /// Claims and outcomes, to the order controller.
--- a/crates/lavenderhatch-daemon/src/peer/links.rs
+++ b/crates/lavenderhatch-daemon/src/peer/links.rs
@@ -126,14 +126,18 @@
             };
             reply(&done, addr, result.await);
         }
-        PeerCommand::Announce { version, digest } => {
-            let Ok(client) = connections.client(addr).await else {
-                return;
+        PeerCommand::Announce {
+            version,
+            digest,
+            done,
+        } => {
+            let result = async {
+                let mut req = connections.client(addr).await?.announce_request();
+                req.get().set_version(version.0);
+                req.get().set_digest(digest.as_bytes());
+                answer(HEARTBEAT_TIMEOUT, req.send().promise).await
             };
-            let mut req = client.announce_request();
-            req.get().set_version(version.0);
-            req.get().set_digest(digest.as_bytes());
-            let _ = answer(HEARTBEAT_TIMEOUT, req.send().promise).await;
+            reply(&done, addr, result.await.map(|_| version));
         }
         PeerCommand::Close => connections.close(addr),
         PeerCommand::Update { req: asked, done } => {
--- a/crates/lavenderhatch-daemon/src/peer/service.rs
+++ b/crates/lavenderhatch-daemon/src/peer/service.rs
@@ -13,7 +13,9 @@
     write_update, write_verdict,
 };
 
-use super::inbox::{CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, OrderRequest, Reply};
+use super::inbox::{
+    CarryJob, DistributionRequest, HeartbeatRequest, Inboxes, MemberRequest, OrderRequest, Reply,
+};
 use super::traffic::ConnectionTraffic;
 
 /// Checks each message and hands it to the thread that decides on it.
@@ -42,8 +44,8 @@
     ) -> Result<(), Error> {
         let hello = read_hello(params.get()?.get_hello()?)?;
         self.peer.replace(Some(hello.node.clone()));
-        let make = |reply| HeartbeatRequest { hello, reply };
-        let own = hand_over(&self.inboxes.heartbeats, make).await?;
+        let make = |reply| MemberRequest::Heartbeat(HeartbeatRequest { hello, reply });
+        let own = hand_over(&self.inboxes.members, make).await?;
         write_hello(&own, results.get().init_hello());
         Ok(())
     }
@@ -57,6 +59,14 @@
         let version = Version(params.get_version());
         let digest = read_digest("digest", params.get_digest()?)?;
         let from = self.peer.borrow().clone();
+        let Some(from) = from else {
+            return Err(Error::failed("the sender is not known".to_owned()));
+        };
+        let held = MemberRequest::Held {
+            node: from.clone(),
+            version,
+        };
+        post(&self.inboxes.members, held)?;
         let req = DistributionRequest::Announce {
             from,
             version,
--- a/crates/lavenderhatch-decide/src/distribution.rs
+++ b/crates/lavenderhatch-decide/src/distribution.rs
@@ -13,7 +13,5 @@
 pub use delta_log::{DELTA_LOG_CAPACITY, DeltaLog};
 pub use evaluate::{Refusal, Step, evaluate_update};
 pub use puller::{Pull, PullResult, Puller};
-pub use readers::{
-    READERS_PER_ZONE, ReaderRole, isolated_interval, reader_backoff, reader_role, zone_readers,
-};
+pub use readers::{READERS_PER_ZONE, ReaderRole, reader_backoff, reader_role, zone_readers};
 pub use transfers::{MAX_TRANSFERS, Transfers};
--- a/crates/lavenderhatch-decide/src/distribution/delta_log.rs
+++ b/crates/lavenderhatch-decide/src/distribution/delta_log.rs
@@ -80,7 +80,12 @@
         })
     }
 
-    /// Version and digest of the mesh in force.
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> Option<&ConfigSnapshot> {
+        self.newest.as_ref()
+    }
+
+    /// Version and digest of the newest snapshot.
     pub fn newest(&self) -> Option<(Version, Digest)> {
         self.newest
             .as_ref()
--- a/crates/lavenderhatch-decide/src/distribution/readers.rs
+++ b/crates/lavenderhatch-decide/src/distribution/readers.rs
@@ -6,16 +6,10 @@
 use lavenderhatch_core::member::Members;
 use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Zone};
 
-use crate::membership::reader_order;
+use crate::membership::{jittered, reader_order};
 
 /// Readers of each zone.
 pub const READERS_PER_ZONE: usize = 2;
-/// Reads a second of all daemons together if all are isolated. The platform takes about 2,000.
-const ISOLATED_READS_PER_SECOND: u64 = 733;
-/// Shortest time between two reads of an isolated daemon, before jitter.
-const MIN_ISOLATED: Duration = Duration::from_secs(1);
-/// Longest time between two reads of an isolated daemon, before jitter.
-const MAX_ISOLATED: Duration = Duration::from_secs(30);
 /// Wait after the first failed call, before jitter.
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest wait after failed calls, before jitter.
@@ -62,26 +56,8 @@
     }
 }
 
-/// Time between two reads of an isolated daemon that knows `members` members.
-///
-/// If all daemons are isolated, they make about 733 reads a second at full size, where each reads
-/// every 30 s. Fewer members read more often, at the same bound for all of them together.
-pub fn isolated_interval(members: usize, random: u64) -> Duration {
-    let millis = members as u64 * 1000 / ISOLATED_READS_PER_SECOND;
-    jittered(
-        Duration::from_millis(millis).clamp(MIN_ISOLATED, MAX_ISOLATED),
-        random,
-    )
-}
-
 /// Wait after `failures` failed calls in a row.
 pub fn reader_backoff(failures: u32, random: u64) -> Duration {
     let wait = MIN_BACKOFF.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1));
     jittered(wait.min(MAX_BACKOFF), random)
 }
-
-/// Between half of `wait` and one and a half times `wait`.
-fn jittered(wait: Duration, random: u64) -> Duration {
-    let millis = wait.as_millis() as u64;
-    Duration::from_millis(millis / 2 + random % (millis + 1))
-}
--- a/crates/lavenderhatch-decide/src/membership/heartbeat.rs
+++ b/crates/lavenderhatch-decide/src/membership/heartbeat.rs
@@ -4,6 +4,7 @@
 
 use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Timestamp, Version};
 
+use super::detector::SUSPECT_AFTER;
 use super::gossip::MAX_GOSSIP_RECORDS;
 use super::state::{HeldVersion, Membership};
 use crate::message::Hello;
@@ -24,11 +25,13 @@
         self.budget.spend_suspicions(hello.suspects.len());
         // Records are taken out of the outbox as they are sent, so a link that does not answer gets
         // nothing but the record that introduces this daemon.
+        let is_known = self.is_known_to(peer, now);
         match self.links.get_mut(peer).filter(|link| link.is_heard(now)) {
             Some(link) => {
                 hello.records = link.outbox.take_records(&self.table, &mut self.budget);
             }
-            None => hello.records.push(self.own.clone()),
+            None if !is_known => hello.records.push(self.own.clone()),
+            None => {}
         }
         let record = self.table.by_id.get(peer);
         let refutable = record.filter(|record| record.state >= MemberState::Failed);
@@ -60,6 +63,12 @@
         hello
     }
 
+    /// Whether a member was heard not long ago, and so has this daemon's record.
+    fn is_known_to(&self, peer: &NodeId, now: Timestamp) -> bool {
+        let heard = self.heard.get(peer);
+        heard.is_some_and(|heard| now.since(heard.at) < SUSPECT_AFTER)
+    }
+
     /// Whether a member has a link to this daemon.
     pub fn is_linked(&self, id: &NodeId) -> bool {
         self.links.contains_key(id)
--- a/crates/lavenderhatch-decide/src/membership/join.rs
+++ b/crates/lavenderhatch-decide/src/membership/join.rs
@@ -11,6 +11,13 @@
 /// Time for contacts to answer before an attempt counts as failed.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 
+/// Reads a second of all daemons together if all are isolated. The platform takes about 2,000.
+const ISOLATED_READS_PER_SECOND: u64 = 733;
+/// Shortest time between two reads of an isolated daemon, before jitter.
+const MIN_ISOLATED: Duration = Duration::from_secs(1);
+/// Longest time between two reads of an isolated daemon, before jitter.
+const MAX_ISOLATED: Duration = Duration::from_secs(30);
+
 /// Wait before an attempt, uniform in `[0, min(30 s, 0.5 s * 2^attempt)]`.
 ///
 /// `random` is uniform over all values. The wait spreads the attempts of daemons that start
@@ -23,6 +30,24 @@
     Duration::from_millis(random % (millis + 1))
 }
 
+/// Time between two reads of an isolated daemon that knows `members` members.
+///
+/// If all daemons are isolated, they make about 733 reads a second at full size, where each reads
+/// every 30 s. Fewer members read more often, at the same bound for all of them together.
+pub fn isolated_interval(members: usize, random: u64) -> Duration {
+    let millis = members as u64 * 1000 / ISOLATED_READS_PER_SECOND;
+    jittered(
+        Duration::from_millis(millis).clamp(MIN_ISOLATED, MAX_ISOLATED),
+        random,
+    )
+}
+
+/// Between half of `wait` and one and a half times `wait`.
+pub fn jittered(wait: Duration, random: u64) -> Duration {
+    let millis = wait.as_millis() as u64;
+    Duration::from_millis(millis / 2 + random % (millis + 1))
+}
+
 /// Attempts to find other members.
 #[derive(Clone, Debug)]
 pub struct Join {
@@ -40,18 +65,23 @@
     }
 
     /// Whether an attempt is to be made now. The next one follows later.
-    pub fn is_due(&mut self, now: Timestamp, random: u64) -> bool {
+    ///
+    /// `members` is the number of members known, which bounds the rate of all of them together.
+    pub fn is_due(&mut self, now: Timestamp, members: usize, random: u64) -> bool {
         if now < self.due {
             return false;
         }
         self.attempt = self.attempt.saturating_add(1);
-        self.due = now + ANSWER_TIME + join_delay(self.attempt, random);
+        let wait = join_delay(self.attempt, random).max(isolated_interval(members, random));
+        self.due = now + ANSWER_TIME + wait;
         true
     }
 
-    /// Notes that a member answered. Attempts after a later loss of all peers begin anew.
-    pub fn succeed(&mut self) {
+    /// Notes that the daemon has peers. Attempts after a later loss of all peers begin anew, spread
+    /// out because many daemons may lose theirs together.
+    pub fn succeed(&mut self, now: Timestamp, members: usize, random: u64) {
         self.attempt = 0;
+        self.due = now + isolated_interval(members, random);
     }
 
     /// Attempts without an answer.
--- a/crates/lavenderhatch-decide/src/membership/link.rs
+++ b/crates/lavenderhatch-decide/src/membership/link.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lavenderhatch_core::Timestamp;
+use lavenderhatch_core::{Incarnation, MemberRecord, Timestamp};
 
 use super::detector::SUSPECT_AFTER;
 use super::gossip::Outbox;
@@ -10,7 +10,9 @@
 /// State of a link.
 #[derive(Clone, Debug)]
 pub(super) struct Link {
-    pub(super) addr: SocketAddr,
+    addr: SocketAddr,
+    /// Start of the member. A member that has started again is a new link.
+    incarnation: Incarnation,
     /// When the link was made, or when a pause of this daemon ended.
     pub(super) since: Timestamp,
     /// When the member was heard last.
@@ -21,9 +23,10 @@
 }
 
 impl Link {
-    pub(super) fn new(addr: SocketAddr, outbox: Outbox, now: Timestamp) -> Self {
+    pub(super) fn new(record: &MemberRecord, outbox: Outbox, now: Timestamp) -> Self {
         Self {
-            addr,
+            addr: record.peer_addr,
+            incarnation: record.incarnation,
             since: now,
             heard: None,
             sent: None,
@@ -31,6 +34,11 @@
         }
     }
 
+    /// Whether the link is to the member that the record describes.
+    pub(super) fn is_to(&self, record: &MemberRecord) -> bool {
+        self.addr == record.peer_addr && self.incarnation == record.incarnation
+    }
+
     /// Whether the member was heard not long ago.
     pub(super) fn is_heard(&self, now: Timestamp) -> bool {
         self.heard.is_some_and(|at| now.since(at) < SUSPECT_AFTER)
--- a/crates/lavenderhatch-decide/src/membership/state.rs
+++ b/crates/lavenderhatch-decide/src/membership/state.rs
@@ -42,7 +42,7 @@
     pub(super) last_report: Timestamp,
     pub(super) last_status: Timestamp,
     pub(super) last_probe: Timestamp,
-    heard: BTreeMap<NodeId, HeardVersion>,
+    pub(super) heard: BTreeMap<NodeId, HeardVersion>,
     /// Highest version that each member heard from has held. Outlives its restarts.
     pub(super) highest: BTreeMap<NodeId, Version>,
     /// Highest version that others have seen this daemon hold.
@@ -107,8 +107,8 @@
         if hello.node == self.own.id {
             return Vec::new();
         }
-        self.note_heard(hello, now);
         let events = self.merge(&hello.records, Some(&hello.node), now);
+        self.note_heard(hello, now);
         for suspicion in &hello.suspects {
             if suspicion.node != self.own.id {
                 self.detector.note(suspicion, now);
@@ -119,16 +119,19 @@
 
     fn note_heard(&mut self, hello: &Hello, now: Timestamp) {
         self.detector.note_heard(&hello.node);
-        self.join.succeed();
         self.floor = self.floor.max(hello.held_by_receiver);
+        if !self.is_settled {
+            // This daemon may have got the version from the sender, whose heartbeats have not yet
+            // shown that to anyone else, and restarted.
+            self.floor = self.floor.max(hello.version);
+        }
         let heard = HeardVersion {
             version: hello.version,
             digest: hello.digest,
             at: now,
         };
         self.heard.insert(hello.node.clone(), heard);
-        let highest = self.highest.entry(hello.node.clone()).or_default();
-        *highest = hello.version.max(*highest);
+        self.note_held(&hello.node, hello.version);
         self.reports.note_member(&hello.node, hello.version, now);
         for report in &hello.reports {
             self.reports.note_group(&hello.node, report, now);
@@ -139,6 +142,12 @@
         self.withdraw(&hello.node, hello.incarnation, now);
     }
 
+    /// Notes the version that a member holds or is about to put in force.
+    pub fn note_held(&mut self, id: &NodeId, version: Version) {
+        let highest = self.highest.entry(id.clone()).or_default();
+        *highest = version.max(*highest);
+    }
+
     /// Notes that a member did not answer.
     pub fn no_answer(&mut self, id: &NodeId, now: Timestamp) {
         self.detector.note_silent(id, now);
@@ -280,6 +289,18 @@
         self.apply(record, None, now)
     }
 
+    /// Declares a member failed that was unreachable. The sequence number is raised on its behalf,
+    /// because `failed` does not outrank `unreachable` under the same one.
+    pub(super) fn fail_alone(&mut self, id: &NodeId, now: Timestamp) -> Option<MemberEvent> {
+        let record = self.table.by_id.get(id)?;
+        let record = MemberRecord {
+            state: MemberState::Failed,
+            seq: record.seq + 1,
+            ..MemberRecord::clone(record)
+        };
+        self.apply(record, None, now)
+    }
+
     /// Makes links to new ring neighbours and ends those to others.
     pub(super) fn refresh_links(&mut self, now: Timestamp) {
         let neighbours = self.table.rings.neighbours(&self.own.id, &self.own.zone);
@@ -290,13 +311,12 @@
             let Some(record) = self.table.by_id.get(&id) else {
                 continue;
             };
-            let addr = record.peer_addr;
-            if self.links.get(&id).is_some_and(|link| link.addr == addr) {
+            if self.links.get(&id).is_some_and(|link| link.is_to(record)) {
                 continue;
             }
             has_changed = true;
-            let outbox = self.new_outbox(&id);
-            self.links.insert(id, Link::new(addr, outbox, now));
+            let link = Link::new(record, self.new_outbox(&id), now);
+            self.links.insert(id, link);
         }
         if has_changed {
             self.links_changed = now;
@@ -323,8 +343,14 @@
     /// The report that this daemon sends as an aggregator.
     pub(super) fn group_report(&self, held: HeldVersion, leaders: &[&NodeId]) -> HeldReport {
         let own = &self.own.id;
-        let covers =
-            |id: &NodeId| super::aggregator_of(leaders, id) == Some(own) && !leaders.contains(&id);
+        let is_of_zone = |id: &NodeId| {
+            let record = self.table.by_id.get(id);
+            record.is_some_and(|r| r.zone == self.own.zone && r.state <= MemberState::Leaving)
+        };
+        let covers = |id: &NodeId| {
+            let is_member = is_of_zone(id) && !leaders.contains(&id);
+            is_member && super::aggregator_of(leaders, id) == Some(own)
+        };
         self.reports.report(held.version, covers)
     }
 
--- a/crates/lavenderhatch-decide/src/membership/table.rs
+++ b/crates/lavenderhatch-decide/src/membership/table.rs
@@ -14,6 +14,11 @@
 /// still travel do not bring it back.
 const GONE_AGE: Duration = Duration::from_secs(3600);
 
+/// Time after which a member that is unreachable in a live zone counts as failed. Regions lose
+/// contact with each other for an hour now and then, which this does not concern: there the whole
+/// zone is unreachable.
+const CUT_OFF_AGE: Duration = Duration::from_secs(600);
+
 /// A record that changed the state of a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberEvent {
@@ -43,6 +48,8 @@
     pub(super) rings: Rings,
     /// Members that have left or failed, and since when.
     gone: BTreeMap<NodeId, Timestamp>,
+    /// Members that are unreachable, and since when.
+    cut_off: BTreeMap<NodeId, Timestamp>,
 }
 
 impl MemberTable {
@@ -57,6 +64,12 @@
             self.rings.remove(present);
         }
         let record = Arc::new(record);
+        match record.state {
+            MemberState::Unreachable => {
+                self.cut_off.entry(record.id.clone()).or_insert(now);
+            }
+            _ => drop(self.cut_off.remove(&record.id)),
+        }
         if is_on_rings(&record) {
             self.rings.insert(&record);
             self.gone.remove(&record.id);
@@ -67,6 +80,21 @@
         Some(MemberEvent { record, before })
     }
 
+    /// Members that are unreachable for so long, in a zone most of which is live, that they have
+    /// failed on their own account. The members of a zone that is cut off stay as they are.
+    pub(super) fn failed_alone(&self, now: Timestamp) -> Vec<NodeId> {
+        let is_old = |at: &Timestamp| now.since(*at) >= CUT_OFF_AGE;
+        let old = self.cut_off.iter().filter(|(_, at)| is_old(at));
+        let is_alone = |id: &&NodeId| {
+            let record = self.by_id.get(*id);
+            record.is_some_and(|record| {
+                let live = self.zone_live(record).count();
+                live * 2 > self.rings.zone_len(&record.zone)
+            })
+        };
+        old.map(|(id, _)| id).filter(is_alone).cloned().collect()
+    }
+
     /// Drops members that have gone long ago, and returns their names.
     pub(super) fn forget(&mut self, now: Timestamp) -> Vec<NodeId> {
         let is_old = |at: &Timestamp| now.since(*at) >= GONE_AGE;
--- a/crates/lavenderhatch-decide/src/membership/tick.rs
+++ b/crates/lavenderhatch-decide/src/membership/tick.rs
@@ -65,8 +65,10 @@
         self.send_words(&mut actions);
         self.probe(&mut actions, now, random);
         self.report(&mut actions, held, now);
-        if self.is_isolated(now) {
-            actions.reads_contacts = self.join.is_due(now, random);
+        let members = self.table.by_id.len();
+        match self.is_isolated(now) {
+            true => actions.reads_contacts = self.join.is_due(now, members, random),
+            false => self.join.succeed(now, members, random),
         }
         self.forget(now);
         actions
@@ -112,6 +114,9 @@
             events.extend(self.mark(&id, state, now));
         }
         events.extend(self.mark_cut_off(&events.clone(), now));
+        for id in self.table.failed_alone(now) {
+            events.extend(self.fail_alone(&id, now));
+        }
         if !events.is_empty() {
             self.refresh_links(now);
         }
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod distribution;
 mod endpoints;
 mod member_fixture;
+mod membership;
 mod stops;
+mod support;
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/support/mesh.rs
@@ -0,0 +1,22 @@
+//! Meshes for tests.
+
+use std::sync::Arc;
+
+use lavenderhatch_core::mesh::MeshParts;
+use lavenderhatch_core::{ConfigSnapshot, Mesh, Timestamp, Version};
+
+/// A mesh with one service and a body limit that tells versions apart.
+pub(crate) fn mesh(version: u64) -> Mesh {
+    let text = format!(
+        r#"{{ "services": {{ "orders": {{ "slots": 12 }}, "s{version}": {{ "slots": 4 }} }},
+             "limits": {{ "max_body_bytes": {} }} }}"#,
+        1_000_000 + version
+    );
+    let parts: MeshParts = serde_json::from_str(&text).unwrap();
+    Mesh::check(parts).unwrap()
+}
+
+/// The snapshot of a version.
+pub(crate) fn snapshot(version: u64) -> ConfigSnapshot {
+    ConfigSnapshot::new(Version(version), Arc::new(mesh(version)), Timestamp(1))
+}
