Test distribution with daemons as processes

Change: the fixture can take the platform down and add settings. Tests: the platform goes down while a version spreads; a daemon killed and started again shows no older version, with the platform up and down; a daemon that starts with the platform down gets the version from peers; versions arrive after half of the daemons died; control bytes leave out calls.

--- /dev/null
+++ b/tests/testsuite/distribution.rs
@@ -0,0 +1,157 @@
+//! How accepted versions reach daemons that run as processes.
+
+use std::time::Duration;
+
+use lavenderhatch_platform::Platform;
+
+use crate::support::{Cluster, Node, poll};
+
+/// Time within which an accepted version is in force everywhere.
+const LIMIT: Duration = Duration::from_secs(6);
+/// Time within which a dead member is failed and others have taken over.
+const FAILURE_LIMIT: Duration = Duration::from_secs(10);
+
+fn mesh(slots: u64) -> String {
+    format!(r#"{{ "services": {{ "orders": {{ "slots": {slots} }} }} }}"#)
+}
+
+fn version(node: &Node) -> u64 {
+    node.status()
+        .map_or(0, |status| status["version"].as_u64().unwrap())
+}
+
+/// Waits until a daemon has a version. Each version that it shows on the way must be one of
+/// `allowed`, in this order.
+fn follow(node: &Node, allowed: &[u64]) {
+    let mut at = 0;
+    poll(
+        FAILURE_LIMIT,
+        &format!("{allowed:?} on {}", node.name),
+        || {
+            let version = version(node);
+            let step = allowed[at..].iter().position(|allowed| *allowed == version);
+            at += step.unwrap_or_else(|| panic!("{} shows {version}", node.name));
+            (at + 1 == allowed.len()).then_some(())
+        },
+    );
+}
+
+fn start(count: usize) -> Cluster {
+    let cluster = Cluster::start(&vec!["orders"; count]);
+    cluster.apply(&mesh(1));
+    cluster.wait_for_version(1);
+    cluster
+}
+
+/// Guards against a version that stops spreading, or is taken back, when the platform goes down
+/// right after it was accepted.
+#[test]
+fn accepted_version_spreads_with_the_platform_down() {
+    let cluster = start(7);
+    cluster.apply(&mesh(2));
+    poll(LIMIT, "version 2 on one daemon", || {
+        cluster
+            .nodes
+            .iter()
+            .any(|node| version(node) == 2)
+            .then_some(())
+    });
+    cluster.set_platform_down(true);
+    for node in &cluster.nodes {
+        follow(node, &[1, 2]);
+    }
+    let dir = cluster.write_mesh("refused", &mesh(3));
+    let output = cluster.tool(&["apply", dir.to_str().unwrap()]);
+    assert!(!output.status.success());
+    for node in &cluster.nodes {
+        assert_eq!(version(node), 2, "{}", node.name);
+    }
+}
+
+/// Guards against a daemon that shows an older version after its own restart, with and without the
+/// platform.
+#[test]
+fn restarted_daemon_never_goes_back() {
+    let mut cluster = start(5);
+    cluster.apply(&mesh(2));
+    cluster.wait_for_version(2);
+    for is_down in [true, false] {
+        cluster.set_platform_down(is_down);
+        let node = &mut cluster.nodes[1];
+        node.kill();
+        node.start();
+        follow(node, &[0, 2]);
+    }
+    cluster.apply(&mesh(3));
+    for node in &cluster.nodes {
+        follow(node, &[2, 3]);
+    }
+}
+
+/// Guards against a new daemon that waits for the platform while its peers have the version.
+#[test]
+fn daemon_that_starts_with_the_platform_down_asks_its_peers() {
+    let mut cluster = start(3);
+    cluster.set_platform_down(true);
+    cluster.settings = format!(r#""first_peers": ["{}"],"#, cluster.nodes[0].peer_addr);
+    cluster.add_node("late", "orders");
+    follow(&cluster.nodes[3], &[0, 1]);
+}
+
+/// Guards against a zone that no longer learns of versions after its readers have died, and against
+/// a status of the zone that no member writes.
+#[test]
+fn versions_arrive_after_daemons_have_died() {
+    let mut cluster = start(8);
+    for n in [0, 3] {
+        cluster.nodes[n].kill();
+    }
+    let mut dead = cluster.nodes.split_off(6);
+    dead.iter_mut().for_each(Node::kill);
+    cluster.nodes.remove(3);
+    cluster.nodes.remove(0);
+    poll(FAILURE_LIMIT, "failure of the dead", || {
+        let members = cluster.nodes[0].status()?["members"].clone();
+        let members = members.as_array()?.clone();
+        let is_live = |member: &&serde_json::Value| member["record"]["state"] == "serving";
+        (members.iter().filter(is_live).count() == 4).then_some(())
+    });
+    cluster.apply(&mesh(2));
+    for node in &cluster.nodes {
+        follow(node, &[1, 2]);
+    }
+    poll(FAILURE_LIMIT, "status of the zones", || {
+        ["status/zone-a", "status/zone-b"]
+            .iter()
+            .try_for_each(|name| {
+                let object = cluster.platform.get(name).unwrap()?;
+                let status: serde_json::Value = serde_json::from_slice(&object.value).unwrap();
+                (status["lowest"] == 2 && status["reported"] == 2).then_some(())
+            })
+    });
+}
+
+/// Guards against control bytes that are not counted or that include calls.
+#[test]
+fn control_bytes_are_counted_without_calls() {
+    let cluster = start(2);
+    let sent = || {
+        cluster.nodes[0].status().unwrap()["control"]["sent"]
+            .as_u64()
+            .unwrap()
+    };
+    assert!(sent() > 0);
+    let before = sent();
+    let mesh = r#"{ "services": { "orders": { "slots": 4 } },
+      "ranks": { "normal": { "target_ms": 50, "worth": 1, "share": 0.5 } },
+      "routes": { "read": { "path": "/", "service": "orders", "rank": "normal",
+                            "timeout_ms": 5000, "idempotent": true } } }"#;
+    cluster.apply(mesh);
+    cluster.wait_for_version(2);
+    let body = "x".repeat(200_000);
+    for _ in 0..10 {
+        let url = format!("http://{}/read", cluster.nodes[0].caller_addr);
+        assert!(ureq::post(url).send(body.as_str()).is_ok());
+    }
+    assert!(sent() - before < 200_000, "{}", sent() - before);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod callers;
 mod endpoints;
 mod stops;
+mod distribution;
 mod support;
 mod whole_path;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -6,6 +6,6 @@
 mod raw;
 
 pub(crate) use callers::{Call, Callers};
-pub(crate) use cluster::Cluster;
+pub(crate) use cluster::{Cluster, Node};
 pub(crate) use poll::poll;
 pub(crate) use raw::RawCaller;
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use lavenderhatch_platform::MemoryPlatform;
 use lavenderhatch_platform::server::PlatformServer;
+use lavenderhatch_platform::{Faults, MemoryPlatform};
 use lavenderhatch_standin::{BackendStandin, Behaviour, next_loopback_ip};
 
 use super::poll::poll;
@@ -33,6 +33,7 @@
     pub(crate) name: String,
     pub(crate) caller_addr: SocketAddr,
     pub(crate) admin_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
     pub(crate) backend: BackendStandin,
     settings: PathBuf,
     process: Option<Child>,
@@ -41,11 +42,12 @@
 /// A platform stand-in and daemons. Dropping it ends the processes and removes its files.
 pub(crate) struct Cluster {
     pub(crate) nodes: Vec<Node>,
+    pub(crate) platform: MemoryPlatform,
     platform_addr: SocketAddr,
     _server: PlatformServer,
     dir: PathBuf,
     /// Further settings for each daemon.
-    settings: String,
+    pub(crate) settings: String,
 }
 
 impl Cluster {
@@ -62,9 +64,10 @@
         fs::create_dir_all(&dir).unwrap();
         let platform = MemoryPlatform::default();
         let platform_addr = free_addr();
-        let server = PlatformServer::bind(platform_addr, platform).unwrap();
+        let server = PlatformServer::bind(platform_addr, platform.clone()).unwrap();
         let mut cluster = Self {
             nodes: Vec::new(),
+            platform,
             platform_addr,
             _server: server,
             dir,
@@ -102,6 +105,7 @@
             name: name.to_owned(),
             caller_addr,
             admin_addr,
+            peer_addr,
             backend,
             settings,
             process: None,
@@ -110,6 +114,14 @@
         self.nodes.push(node);
     }
 
+    /// Takes the platform down or up.
+    pub(crate) fn set_platform_down(&self, is_down: bool) {
+        self.platform.set_faults(Faults {
+            is_down,
+            ..Faults::default()
+        });
+    }
+
     /// Writes files into a directory for the operator's tool.
     pub(crate) fn write_mesh(&self, name: &str, text: &str) -> PathBuf {
         let dir = self.dir.join(name);
