Measure convergence and cost with daemon processes

Change: the binary convergence starts daemons in several zones with the stand-in platform, applies changes calm, with a tenth killed, and with the platform down after each acceptance, and reads times from the daemons' audit events.

--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/convergence/process.rs
@@ -0,0 +1,123 @@
+//! A daemon process.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use eyre::{Result, WrapErr, eyre};
+use lavenderhatch_core::audit::AuditLog;
+use lavenderhatch_daemon::admin::DaemonStatus;
+use serde::de::DeserializeOwned;
+
+/// Clock ticks in a second, in which the kernel counts processor time.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Three loopback addresses for each of `count` daemons, free a moment ago.
+pub(crate) fn free_addrs(count: usize) -> Result<Vec<[SocketAddr; 3]>> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    // All are held until the last is found, so that none is found twice.
+    let held: Vec<TcpListener> = (0..3 * count).map(|_| bind()).collect::<Result<_, _>>()?;
+    let addrs: Vec<SocketAddr> = held
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()?;
+    Ok(addrs.chunks_exact(3).map(|c| [c[0], c[1], c[2]]).collect())
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    /// Processor time in seconds.
+    pub(crate) processor_s: f64,
+    /// Resident memory in bytes.
+    pub(crate) resident: u64,
+    /// Control bytes sent and received.
+    pub(crate) control: u64,
+}
+
+/// A running daemon. It ends when this is dropped.
+pub(crate) struct Daemon {
+    process: Child,
+    admin_addr: SocketAddr,
+}
+
+impl Daemon {
+    pub(crate) fn start(
+        dir: &Path,
+        name: &str,
+        zone: usize,
+        addrs: &[SocketAddr; 3],
+        platform: SocketAddr,
+    ) -> Result<Self> {
+        let [caller, peer, admin] = addrs;
+        let settings = dir.join(format!("{name}.jsonc"));
+        let text = format!(
+            r#"{{ "node": "{name}", "zone": "zone-{zone}", "region": "region-1", "service": "s0",
+  "caller_addr": "{caller}", "peer_addr": "{peer}", "admin_addr": "{admin}",
+  "backend_addr": "127.0.0.1:9", "platform": ["http://{platform}"],
+  "peer_threads": 1, "carry_threads": 1 }}"#
+        );
+        fs::write(&settings, text)?;
+        let own = std::env::current_exe()?;
+        let program = own.with_file_name("lavenderhatchd");
+        let log = fs::File::create(dir.join(format!("{name}.log")))?;
+        let process = Command::new(&program)
+            .args(["--log-level", "warn"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("cannot start {}", program.display()))?;
+        Ok(Self {
+            process,
+            admin_addr: *admin,
+        })
+    }
+
+    pub(crate) fn status(&self) -> Result<DaemonStatus> {
+        self.get("/status")
+    }
+
+    pub(crate) fn audit(&self) -> Result<AuditLog> {
+        self.get("/audit")
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let mut res = ureq::get(format!("http://{}{path}", self.admin_addr)).call()?;
+        Ok(serde_json::from_slice(&res.body_mut().read_to_vec()?)?)
+    }
+
+    pub(crate) fn usage(&self) -> Result<Usage> {
+        let control = self.status()?.control;
+        Ok(Usage {
+            processor_s: self.processor_s()?,
+            resident: resident(&format!("/proc/{}/status", self.process.id()))?,
+            control: control.sent + control.received,
+        })
+    }
+
+    fn processor_s(&self) -> Result<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.process.id()))?;
+        let rest = stat.rsplit_once(')').ok_or_else(|| eyre!("bad stat"))?.1;
+        // utime and stime are the 14th and 15th fields, the 12th and 13th after the name.
+        let fields = rest.split_whitespace().skip(11).take(2);
+        let ticks: f64 = fields.filter_map(|field| field.parse::<f64>().ok()).sum();
+        Ok(ticks / TICKS_PER_SECOND)
+    }
+}
+
+fn resident(path: &str) -> Result<u64> {
+    let status = fs::read_to_string(path)?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    let kib: u64 = kib.ok_or_else(|| eyre!("no VmRSS"))?.parse()?;
+    Ok(kib * 1024)
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/convergence/report.rs
@@ -0,0 +1,43 @@
+//! Results as text.
+
+use crate::run::{Cost, Outcome, Spread};
+
+const HEAD: &str =
+    "| daemons | scenario | one daemon ms (median, p99, max) | all daemons ms (median, p99, max) \
+| missing | reverted | control KB/s idle (median, max) | control KB/s with changes (median, max) \
+| processor % of a core with changes (median, max) | resident MB (median, max) \
+| platform reads/s, writes/s idle | platform reads/s, writes/s with changes |
+|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+/// One row.
+pub(crate) fn line(outcome: &Outcome) -> String {
+    let times = |spread: &Spread| format!("{}, {}, {}", spread.median, spread.p99, spread.max);
+    let pair = |spread: &Spread| format!("{:.2}, {:.2}", spread.median, spread.max);
+    let calls = |cost: &Cost| {
+        format!(
+            "{:.1}, {:.1}",
+            cost.platform_reads_s, cost.platform_writes_s
+        )
+    };
+    format!(
+        "| {} | {:?} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+        outcome.plan.daemons,
+        outcome.plan.scenario,
+        times(&outcome.one_ms),
+        times(&outcome.all_ms),
+        outcome.missing,
+        outcome.reverted,
+        pair(&outcome.idle.control_kb_s),
+        pair(&outcome.busy.control_kb_s),
+        pair(&outcome.busy.processor_percent),
+        pair(&outcome.busy.resident_mb),
+        calls(&outcome.idle),
+        calls(&outcome.busy),
+    )
+}
+
+/// All rows with their head.
+pub(crate) fn table(outcomes: &[Outcome]) -> String {
+    let rows: Vec<String> = outcomes.iter().map(line).collect();
+    format!("{HEAD}\n{}", rows.join("\n"))
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/convergence/run.rs
@@ -0,0 +1,236 @@
+//! One measurement.
+
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::after;
+use eyre::Result;
+use hdrhistogram::Histogram;
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
+use lavenderhatch_core::{Timestamp, Version};
+use lavenderhatch_platform::CallCounts;
+use serde::Serialize;
+
+use crate::fleet::Fleet;
+use crate::process::Usage;
+
+/// Time between the acceptance of a version and the outage of the platform. A version that no
+/// daemon has read before the outage cannot spread.
+const DOWN_AFTER: Duration = Duration::from_millis(50);
+/// Length of an outage.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+/// Time between the end of an outage and the next change.
+const UP_TIME: Duration = Duration::from_secs(2);
+/// Time after the last change for it to arrive.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Delay that stands for a version that did not arrive.
+const NEVER_MS: u64 = 600_000;
+
+/// What happens while changes are applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Scenario {
+    /// Nothing else.
+    Calm,
+    /// A tenth of the daemons is killed right after the first change.
+    Killed,
+    /// The platform goes down after each change.
+    PlatformDown,
+}
+
+impl Scenario {
+    pub(crate) fn parse(text: &str) -> Result<Self, String> {
+        match text {
+            "calm" => Ok(Self::Calm),
+            "killed" => Ok(Self::Killed),
+            "platform-down" => Ok(Self::PlatformDown),
+            _ => Err("use calm, killed or platform-down".to_owned()),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Plan {
+    pub(crate) daemons: usize,
+    pub(crate) zones: usize,
+    pub(crate) services: usize,
+    pub(crate) changes: usize,
+    pub(crate) interval_ms: u64,
+    pub(crate) idle_ms: u64,
+    pub(crate) scenario: Scenario,
+}
+
+/// Median, 99th percentile and maximum.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Spread {
+    pub(crate) median: f64,
+    pub(crate) p99: f64,
+    pub(crate) max: f64,
+}
+
+impl Spread {
+    /// Of values of which `scale` make one unit of the result.
+    fn of(values: impl Iterator<Item = u64>, scale: f64) -> Result<Self> {
+        let mut histogram: Histogram<u64> = Histogram::new(3)?;
+        for value in values {
+            histogram.record(value)?;
+        }
+        Ok(Self {
+            median: histogram.value_at_quantile(0.5) as f64 / scale,
+            p99: histogram.value_at_quantile(0.99) as f64 / scale,
+            max: histogram.max() as f64 / scale,
+        })
+    }
+}
+
+/// What the daemons used over a time.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Cost {
+    /// Control bytes a second of one daemon, sent and received together, in KB of 1000 bytes.
+    pub(crate) control_kb_s: Spread,
+    /// Part of one core that one daemon used, in percent.
+    pub(crate) processor_percent: Spread,
+    /// Resident memory of one daemon, in MB of 1000000 bytes.
+    pub(crate) resident_mb: Spread,
+    /// Reads of the platform a second, watches included.
+    pub(crate) platform_reads_s: f64,
+    /// Writes to the platform a second.
+    pub(crate) platform_writes_s: f64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Outcome {
+    pub(crate) plan: Plan,
+    /// Time from acceptance until one daemon had the version in force, in milliseconds.
+    pub(crate) one_ms: Spread,
+    /// Time from acceptance until all daemons had it in force, in milliseconds.
+    pub(crate) all_ms: Spread,
+    /// Pairs of daemon and version that never arrived.
+    pub(crate) missing: usize,
+    /// Switches to a version that is not greater than the one before.
+    pub(crate) reverted: usize,
+    pub(crate) start_s: f64,
+    pub(crate) idle: Cost,
+    pub(crate) busy: Cost,
+}
+
+pub(crate) fn run(plan: &Plan) -> Result<Outcome> {
+    let start = Instant::now();
+    let mut fleet = Fleet::start(plan.daemons, plan.zones, plan.services)?;
+    let start_s = start.elapsed().as_secs_f64();
+    wait(SETTLE_TIME)?;
+    let idle = measure(&mut fleet, |_| wait(Duration::from_millis(plan.idle_ms)))?;
+    let mut accepted = Vec::new();
+    let busy = measure(&mut fleet, |fleet| {
+        accepted = apply_all(fleet, plan)?;
+        Ok(())
+    })?;
+    wait(SETTLE_TIME)?;
+    let delays = delays(&fleet, &accepted)?;
+    let all = accepted.iter().enumerate().map(|(at, _)| {
+        let of_version = delays.by_daemon.iter().map(|delays| delays[at]);
+        of_version.max().unwrap_or(NEVER_MS)
+    });
+    Ok(Outcome {
+        plan: plan.clone(),
+        one_ms: Spread::of(delays.by_daemon.iter().flatten().copied(), 1.0)?,
+        all_ms: Spread::of(all, 1.0)?,
+        missing: delays
+            .by_daemon
+            .iter()
+            .flatten()
+            .filter(|ms| **ms == NEVER_MS)
+            .count(),
+        reverted: delays.reverted,
+        start_s,
+        idle: idle.0,
+        busy: busy.0,
+    })
+}
+
+fn wait(time: Duration) -> Result<()> {
+    after(time).recv()?;
+    Ok(())
+}
+
+fn measure(
+    fleet: &mut Fleet,
+    act: impl FnOnce(&mut Fleet) -> Result<()>,
+) -> Result<(Cost, CallCounts)> {
+    let (counts, before, start) = (fleet.counts(), fleet.usage()?, Instant::now());
+    act(fleet)?;
+    let seconds = start.elapsed().as_secs_f64();
+    let (after, now) = (fleet.usage()?, fleet.counts());
+    // Daemons are killed from the end, so those that are left have the same places.
+    let pairs: Vec<(Usage, Usage)> = before.into_iter().zip(after).collect();
+    let per_second = |value: u64| (value as f64 / seconds) as u64;
+    let control = pairs.iter().map(|(a, b)| per_second(b.control - a.control));
+    let processor = pairs
+        .iter()
+        .map(|(a, b)| ((b.processor_s - a.processor_s) / seconds * 100_000.0) as u64);
+    let cost = Cost {
+        control_kb_s: Spread::of(control, 1000.0)?,
+        processor_percent: Spread::of(processor, 1000.0)?,
+        resident_mb: Spread::of(pairs.iter().map(|(_, b)| b.resident / 1000), 1000.0)?,
+        platform_reads_s: (now.reads - counts.reads) as f64 / seconds,
+        platform_writes_s: (now.writes - counts.writes) as f64 / seconds,
+    };
+    Ok((cost, now))
+}
+
+/// Applies the changes. Returns when each was accepted.
+fn apply_all(fleet: &mut Fleet, plan: &Plan) -> Result<Vec<(Version, Timestamp)>> {
+    let mut accepted = Vec::new();
+    for change in 0..plan.changes {
+        let version = change + 2;
+        accepted.push((Version(version as u64), fleet.apply(version)?));
+        match plan.scenario {
+            Scenario::Calm => wait(Duration::from_millis(plan.interval_ms))?,
+            Scenario::Killed => {
+                if change == 0 {
+                    let left = plan.daemons - plan.daemons.div_ceil(10);
+                    fleet.daemons.truncate(left);
+                }
+                wait(Duration::from_millis(plan.interval_ms))?;
+            }
+            Scenario::PlatformDown => {
+                wait(DOWN_AFTER)?;
+                fleet.set_down(true);
+                wait(DOWN_TIME)?;
+                fleet.set_down(false);
+                wait(UP_TIME)?;
+            }
+        }
+    }
+    Ok(accepted)
+}
+
+struct Delays {
+    /// By daemon and change, in milliseconds.
+    by_daemon: Vec<Vec<u64>>,
+    reverted: usize,
+}
+
+fn delays(fleet: &Fleet, accepted: &[(Version, Timestamp)]) -> Result<Delays> {
+    let mut by_daemon = Vec::new();
+    let mut reverted = 0;
+    for daemon in &fleet.daemons {
+        let events = daemon.audit()?.events;
+        let switches: Vec<&AuditEvent> = events
+            .iter()
+            .filter(|event| event.action == AuditAction::VersionSwitched)
+            .collect();
+        reverted += switches
+            .iter()
+            .filter(|event| event.to <= event.from)
+            .count();
+        let delay = |(version, at): &(Version, Timestamp)| {
+            let switch = switches.iter().find(|event| event.to >= Some(*version));
+            switch.map_or(NEVER_MS, |event| event.at.since(*at).as_millis() as u64)
+        };
+        by_daemon.push(accepted.iter().map(delay).collect());
+    }
+    Ok(Delays {
+        by_daemon,
+        reverted,
+    })
+}
