Shorten reports and announcements, and share the table of members

Change: a member reports to an aggregator that knows it by an announcement, and not at all if it is linked to it. A link that has announced a version is not told of it.

--- a/crates/lavenderhatch-bench/src/bin/convergence/process.rs
+++ b/crates/lavenderhatch-bench/src/bin/convergence/process.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, WrapErr, bail, eyre};
 use lavenderhatch_core::audit::AuditLog;
 use lavenderhatch_daemon::admin::DaemonStatus;
 use serde::de::DeserializeOwned;
@@ -13,16 +13,25 @@
 /// Clock ticks in a second, in which the kernel counts processor time.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// First port that is tried. The ports lie below those that the kernel gives to outgoing
+/// connections, which would otherwise take a port between the look for it and its use.
+const FIRST_PORT: u16 = 12_000;
+
 /// Three loopback addresses for each of `count` daemons, free a moment ago.
 pub(crate) fn free_addrs(count: usize) -> Result<Vec<[SocketAddr; 3]>> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    // All are held until the last is found, so that none is found twice.
-    let held: Vec<TcpListener> = (0..3 * count).map(|_| bind()).collect::<Result<_, _>>()?;
-    let addrs: Vec<SocketAddr> = held
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?;
-    Ok(addrs.chunks_exact(3).map(|c| [c[0], c[1], c[2]]).collect())
+    let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
+    let ports: Vec<u16> = (FIRST_PORT..32_000)
+        .filter(is_free)
+        .take(3 * count)
+        .collect();
+    if ports.len() < 3 * count {
+        bail!("too few free ports");
+    }
+    let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let addrs = ports.chunks_exact(3);
+    Ok(addrs
+        .map(|c| [addr(c[0]), addr(c[1]), addr(c[2])])
+        .collect())
 }
 
 /// What a process has used so far.
--- a/crates/lavenderhatch-bench/src/bin/convergence/run.rs
+++ b/crates/lavenderhatch-bench/src/bin/convergence/run.rs
@@ -25,6 +25,9 @@
 /// Delay that stands for a version that did not arrive.
 const NEVER_MS: u64 = 600_000;
 
+/// Delay that is named one by one.
+const SLOW_MS: u64 = 1000;
+
 /// What happens while changes are applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -227,7 +230,13 @@
             let switch = switches.iter().find(|event| event.to >= Some(*version));
             switch.map_or(NEVER_MS, |event| event.at.since(*at).as_millis() as u64)
         };
-        by_daemon.push(accepted.iter().map(delay).collect());
+        let of_daemon: Vec<u64> = accepted.iter().map(delay).collect();
+        for ((version, _), ms) in accepted.iter().zip(&of_daemon) {
+            if *ms >= SLOW_MS {
+                eprintln!("slow: d{} version {version} after {ms} ms", by_daemon.len());
+            }
+        }
+        by_daemon.push(of_daemon);
     }
     Ok(Delays {
         by_daemon,
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/fullsize.rs
@@ -0,0 +1,222 @@
+//! Measures what one daemon's decisions take at the size that decides the design: 22,000 members in
+//! 16 zones and a mesh of 750 services.
+
+use std::fs;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use clap::{Arg, Command, value_parser};
+use eyre::{Result, eyre};
+use lavenderhatch_core::mesh::MeshParts;
+use lavenderhatch_core::{
+    ConfigSnapshot, Incarnation, MemberRecord, MemberState, Mesh, NodeId, Region, ServiceName,
+    Timestamp, Version, Zone,
+};
+use lavenderhatch_decide::distribution::{DeltaLog, evaluate_update, zone_readers};
+use lavenderhatch_decide::membership::{HeldVersion, Membership};
+use lavenderhatch_decide::message::{Hello, UpdateRequest};
+use rand::RngExt;
+
+/// Zones at full size.
+const ZONES: usize = 16;
+/// Steps that the log of changes holds.
+const LOG_STEPS: usize = 64;
+/// Records in a full gossip message.
+const RECORDS: usize = 60;
+/// Time between two ticks in milliseconds.
+const TICK_MS: u64 = 250;
+
+fn main() -> Result<()> {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .default_value(default)
+            .value_parser(value_parser!(usize))
+    };
+    let args = Command::new("fullsize")
+        .about("Measures one daemon's decisions at full size")
+        .arg(number("members", "22000", "Members"))
+        .arg(number("services", "750", "Services"))
+        .arg(number("rounds", "200", "Repetitions of each step"))
+        .get_matches();
+    let number = |name: &str| args.get_one::<usize>(name).copied().unwrap_or_default();
+    measure_members(number("members"), number("services"), number("rounds"))?;
+    measure_mesh(number("services"), number("rounds"))
+}
+
+fn resident_mb() -> Result<f64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    let kib: f64 = kib.ok_or_else(|| eyre!("no VmRSS"))?.parse()?;
+    Ok(kib * 1024.0 / 1e6)
+}
+
+/// Prints the mean time of a step in microseconds.
+fn time(what: &str, rounds: usize, mut step: impl FnMut(usize)) {
+    let start = Instant::now();
+    (0..rounds).for_each(&mut step);
+    let micros = start.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+    println!("{what}: {micros:.1} us");
+}
+
+fn record(n: usize, services: usize, seq: u64) -> Result<MemberRecord> {
+    let host = [10, (n >> 16) as u8, (n >> 8) as u8, n as u8];
+    Ok(MemberRecord {
+        id: NodeId::new(&format!("server-{n:05}"))?,
+        incarnation: Incarnation(1_700_000_000_000 + n as u64),
+        seq,
+        zone: Zone::new(&format!("region-{}-zone-{}", n % 7, n % ZONES))?,
+        region: Region::new(&format!("region-{}", n % 7))?,
+        service: ServiceName::new(&format!("service-{}", n % services.max(1)))?,
+        peer_addr: (host, 7000).into(),
+        admin_addr: (host, 7001).into(),
+        slots: 12,
+        state: MemberState::Serving,
+    })
+}
+
+fn hello(from: &MemberRecord, records: Vec<MemberRecord>) -> Hello {
+    Hello {
+        node: from.id.clone(),
+        incarnation: from.incarnation,
+        version: Version(1),
+        digest: lavenderhatch_core::Digest::default(),
+        records,
+        suspects: Vec::new(),
+        held_by_receiver: Version(1),
+        in_flight: 0,
+        limit: 0,
+        reports: Vec::new(),
+    }
+}
+
+fn measure_members(members: usize, services: usize, rounds: usize) -> Result<()> {
+    let mut random = rand::rng();
+    let held = HeldVersion {
+        version: Version(1),
+        ..HeldVersion::default()
+    };
+    let mut now = Timestamp(1_700_000_100_000);
+    let before = resident_mb()?;
+    let mut state = Membership::new(record(0, services, 1)?, now, 1);
+    let start = Instant::now();
+    for first in (1..members).step_by(RECORDS) {
+        let last = (first + RECORDS).min(members);
+        let records: Result<Vec<_>> = (first..last).map(|n| record(n, services, 1)).collect();
+        state.learn(&records?, now);
+    }
+    let load_ms = start.elapsed().as_secs_f64() * 1e3;
+    println!("members {members}: table loaded in {load_ms:.0} ms");
+    println!(
+        "memory of the table and the rings: {:.1} MB",
+        resident_mb()? - before
+    );
+
+    let view = state.view(now);
+    let links: Vec<NodeId> = view.links.clone();
+    println!("links: {}", links.len());
+    let peers: Vec<MemberRecord> = links
+        .iter()
+        .filter_map(|id| state.record(id).cloned())
+        .collect();
+    let quiet: Vec<Hello> = peers.iter().map(|peer| hello(peer, Vec::new())).collect();
+    time("heartbeat received, without records", rounds, |n| {
+        black_box(state.receive(&quiet[n % quiet.len()], now));
+    });
+    time("heartbeat made", rounds, |n| {
+        now = Timestamp(now.0 + 100);
+        black_box(state.hello_for(Some(&links[n % links.len()]), held, now));
+    });
+    time("tick", rounds, |_| {
+        now = Timestamp(now.0 + TICK_MS);
+        for hello in &quiet {
+            state.receive(hello, now);
+        }
+        black_box(state.tick(held, now, random.random()));
+    });
+    let mut news = Vec::new();
+    for round in 0..rounds {
+        let any = |_| record(random.random_range(1..members), services, 2 + round as u64);
+        let records: Result<Vec<_>> = (0..RECORDS).map(any).collect();
+        news.push(hello(&peers[round % peers.len()], records?));
+    }
+    time("gossip round with 60 new records received", rounds, |n| {
+        black_box(state.receive(&news[n], now));
+    });
+    time("snapshot of the members published", rounds, |_| {
+        black_box(state.view(now));
+    });
+    let zone = state.own().zone.clone();
+    time("readers of the zone", rounds, |_| {
+        black_box(zone_readers(&view, &zone).len());
+    });
+    println!(
+        "memory with two snapshots: {:.1} MB",
+        resident_mb()? - before
+    );
+    Ok(())
+}
+
+fn mesh(services: usize, version: usize) -> Result<Mesh> {
+    let mut parts: MeshParts = serde_json::from_value(serde_json::json!({
+        "ranks": { "normal": { "target_ms": 50, "worth": 10, "share": 0.5 } },
+    }))?;
+    for n in 0..services {
+        let slots = if n == version % services {
+            2 + version
+        } else {
+            1
+        };
+        let one: MeshParts = serde_json::from_value(serde_json::json!({
+            "services": { format!("service-{n}"): { "slots": slots } },
+            "routes": { format!("route-{n}"): { "path": format!("/service/{n}"),
+                "service": format!("service-{n}"), "rank": "normal", "timeout_ms": 1000,
+                "idempotent": true } },
+        }))?;
+        parts.services.extend(one.services);
+        parts.routes.extend(one.routes);
+    }
+    Mesh::check(parts).map_err(|faults| eyre!("{} faults", faults.len()))
+}
+
+fn measure_mesh(services: usize, rounds: usize) -> Result<()> {
+    let now = Timestamp(1);
+    let before = resident_mb()?;
+    let mut log = DeltaLog::default();
+    for version in 1..=LOG_STEPS + 1 {
+        let mesh = Arc::new(mesh(services, version)?);
+        log.push(&ConfigSnapshot::new(Version(version as u64), mesh, now));
+    }
+    println!(
+        "services {services}: whole set {} bytes",
+        mesh(services, 1)?.parts().to_canonical().len()
+    );
+    println!(
+        "memory of the mesh and {LOG_STEPS} steps: {:.1} MB",
+        resident_mb()? - before
+    );
+    let newest = LOG_STEPS as u64 + 1;
+    let ask = |held| UpdateRequest {
+        held: Version(held),
+        want: Version(newest),
+    };
+    time("changes of one step answered", rounds, |_| {
+        black_box(log.answer(&ask(newest - 1)));
+    });
+    time("changes of 64 steps answered", rounds, |_| {
+        black_box(log.answer(&ask(1)));
+    });
+    time("whole set answered", rounds, |_| {
+        black_box(log.answer(&ask(0)));
+    });
+    let base = Arc::new(mesh(services, LOG_STEPS)?);
+    let base = ConfigSnapshot::new(Version(newest - 1), base, now);
+    let update = log.answer(&ask(newest - 1));
+    time("changes of one step evaluated", rounds, |_| {
+        black_box(evaluate_update(Some(&base), Version::NONE, &update, now).is_ok());
+    });
+    Ok(())
+}
--- a/crates/lavenderhatch-core/src/member/members.rs
+++ b/crates/lavenderhatch-core/src/member/members.rs
@@ -21,8 +21,9 @@
 /// Snapshot of the members that this daemon knows, itself included.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    /// Records by name.
-    pub by_id: BTreeMap<NodeId, Arc<MemberRecord>>,
+    /// Records by name. Shared, because a snapshot that differs only in the versions heard is
+    /// published several times a second, and a copy of 22,000 entries takes 2 ms.
+    pub by_id: Arc<BTreeMap<NodeId, Arc<MemberRecord>>>,
     /// Members that this daemon keeps a link to. Invariant: without this daemon itself.
     pub links: Vec<NodeId>,
     /// Versions heard from the linked members.
--- a/crates/lavenderhatch-daemon/src/controller/distribution.rs
+++ b/crates/lavenderhatch-daemon/src/controller/distribution.rs
@@ -140,10 +140,8 @@
         match req {
             DistributionRequest::Update { req, reply } => reply.send(self.answer(&req)),
             DistributionRequest::Announce { from, version, .. } => {
-                if version > self.held() {
-                    let now = Timestamp::from_system_clock();
-                    self.puller.announce(&from, version, now);
-                }
+                let now = Timestamp::from_system_clock();
+                self.puller.announce(&from, version, now);
             }
         }
     }
@@ -185,7 +183,10 @@
     fn receive(&mut self, reply: PeerReply<Update>) {
         let is_asked = |asked: &mut (SocketAddr, NodeId)| asked.0 == reply.addr;
         let Some((addr, from)) = self.asked.take_if(is_asked) else {
-            debug!("config: late update from {}", reply.addr);
+            // Another member was asked in the meantime. The update is sound or refused all the same.
+            if let Ok(update) = reply.result {
+                drop(self.evaluate(&update, Source::Peer));
+            }
             return;
         };
         let result = match reply.result {
@@ -302,7 +303,8 @@
         let members = self.cx.members.load();
         let is_behind = |id: &&NodeId| {
             let heard = members.heard.get(*id);
-            heard.is_none_or(|heard| heard.version < version)
+            let is_heard = heard.is_some_and(|heard| heard.version >= version);
+            !is_heard && !self.puller.has_announced(id, version)
         };
         let links = members.links.iter().filter(is_behind);
         let records = links.filter_map(|id| members.get(id.as_str()));
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -71,15 +71,19 @@
     targets: HashMap<SocketAddr, NodeId>,
     newest: Version,
     published: Urgent,
+    published_heard: Vec<(NodeId, Version)>,
     is_changed: bool,
     answers_tx: Sender<PeerReply<Hello>>,
     answers: Receiver<PeerReply<Hello>>,
+    reported_tx: Sender<PeerReply<Version>>,
+    reported: Receiver<PeerReply<Version>>,
 }
 
 impl Running {
     fn new(cx: MembershipController) -> Self {
         // Bounded, so that answers that this thread cannot take in time hold back their links.
         let (answers_tx, answers) = bounded(1024);
+        let (reported_tx, reported) = bounded(16);
         let now = Timestamp::from_system_clock();
         let state = Membership::new(cx.own.clone(), now, rand::random());
         Self {
@@ -88,9 +92,12 @@
             targets: HashMap::new(),
             newest: Version::NONE,
             published: Urgent::default(),
+            published_heard: Vec::new(),
             is_changed: true,
             answers_tx,
             answers,
+            reported_tx,
+            reported,
         }
     }
 
@@ -103,7 +110,8 @@
                 recv(self.cx.requests) -> req => match req {
                     Ok(MemberRequest::Heartbeat(req)) => self.answer(req),
                     Ok(MemberRequest::Held { node, version }) => {
-                        self.state.note_held(&node, version);
+                        let now = Timestamp::from_system_clock();
+                        self.state.note_held(&node, version, now);
                     }
                     Err(_) => return,
                 },
@@ -111,6 +119,11 @@
                     Ok(reply) => self.take_answer(reply),
                     Err(_) => return,
                 },
+                recv(self.reported) -> reply => match reply {
+                    Ok(reply) if reply.result.is_err() => self.state.report_failed(),
+                    Ok(_) => {}
+                    Err(_) => return,
+                },
                 recv(self.cx.contacts) -> contacts => match contacts {
                     Ok(contacts) => self.learn(&contacts),
                     Err(_) => return,
@@ -160,7 +173,7 @@
     fn receive(&mut self, hello: &Hello, now: Timestamp) {
         self.newest = self.newest.max(hello.version);
         let events = self.state.receive(hello, now);
-        self.is_changed = true;
+        self.is_changed |= !events.is_empty();
         self.report(&events, now);
     }
 
@@ -183,6 +196,14 @@
             self.targets.insert(target.addr, target.id);
             self.send(target.addr, hello);
         }
+        if let Some(addr) = actions.report_to {
+            let command = PeerCommand::Announce {
+                version: held.version,
+                digest: held.digest,
+                done: self.reported_tx.clone(),
+            };
+            self.cx.links.send(addr, command);
+        }
         if actions.reads_contacts {
             self.find_peers(held, now);
         }
@@ -190,11 +211,20 @@
             let _ = self.cx.jobs.try_send(ZoneJob::Status(status));
         }
         self.targets.retain(|_, id| self.state.record(id).is_some());
-        if self.is_changed {
+        if self.is_changed || self.heard(now) != self.published_heard {
             self.publish();
         }
     }
 
+    /// Versions of the members that were heard lately. A snapshot that would say the same is not
+    /// published, because each one makes all readers of the section look at all members.
+    fn heard(&self, now: Timestamp) -> Vec<(NodeId, Version)> {
+        let heard = self.state.heard_lately(now);
+        heard
+            .map(|(id, heard)| (id.clone(), heard.version))
+            .collect()
+    }
+
     /// Says what this daemon's own state is: it serves once a configuration is in force.
     fn update_own(&mut self, now: Timestamp) {
         let config = self.cx.config.load();
@@ -263,6 +293,7 @@
         self.published = self.urgent();
         self.is_changed = false;
         let now = Timestamp::from_system_clock();
+        self.published_heard = self.heard(now);
         self.cx.members.publish(self.state.view(now));
     }
 }
--- a/crates/lavenderhatch-decide/src/distribution/puller.rs
+++ b/crates/lavenderhatch-decide/src/distribution/puller.rs
@@ -9,7 +9,7 @@
 use crate::message::UpdateRequest;
 
 /// Time after which an update that was asked for is asked for elsewhere.
-const ANSWER_TIME: Duration = Duration::from_secs(4);
+const ANSWER_TIME: Duration = Duration::from_secs(2);
 /// Time for which a member that sent a bad update is not asked.
 const BAD_UPDATE_PENALTY: Duration = Duration::from_secs(30);
 /// Time for which a member that did not answer is not asked.
@@ -61,6 +61,12 @@
         self.announced.insert(from.clone(), (version, now));
     }
 
+    /// Whether a member has announced a version lately, or a later one.
+    pub fn has_announced(&self, id: &NodeId, version: Version) -> bool {
+        let announced = self.announced.get(id);
+        announced.is_some_and(|(announced, _)| *announced >= version)
+    }
+
     /// The next question, if a member is known to be ahead and no other question is open.
     ///
     /// The member that announced the highest version is asked; `random` chooses between equals. A
--- a/crates/lavenderhatch-decide/src/membership/gossip.rs
+++ b/crates/lavenderhatch-decide/src/membership/gossip.rs
@@ -74,9 +74,9 @@
 /// What is to be passed on to one link.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Outbox {
-    /// Members whose records are news, oldest first.
+    /// Members whose records are or were news, oldest first.
     news: VecDeque<NodeId>,
-    /// Invariant: the same members as in `news`.
+    /// Members whose records are news. Invariant: all are in `news`.
     waiting: BTreeSet<NodeId>,
     sync: Option<Sync>,
 }
@@ -123,9 +123,7 @@
 
     /// Notes that the link has sent the same record, which it need not be sent back.
     pub(super) fn note_known(&mut self, id: &NodeId) {
-        if self.waiting.remove(id) {
-            self.news.retain(|waiting| waiting != id);
-        }
+        self.waiting.remove(id);
         if let Some(sync) = &mut self.sync {
             sync.known.insert(id.clone());
         }
@@ -140,7 +138,7 @@
         let mut taken = Vec::new();
         while taken.len() < MAX_GOSSIP_RECORDS {
             let Some(id) = self.news.front() else { break };
-            let record = table.find(id);
+            let record = table.find(id).filter(|_| self.waiting.contains(id));
             if record.is_some_and(|record| !budget.take_record(record)) {
                 return taken;
             }
--- a/crates/lavenderhatch-decide/src/membership/state.rs
+++ b/crates/lavenderhatch-decide/src/membership/state.rs
@@ -41,6 +41,8 @@
     pub(super) last_tick: Timestamp,
     pub(super) last_report: Timestamp,
     pub(super) last_status: Timestamp,
+    /// The aggregator that has had a heartbeat, after which shorter messages do.
+    pub(super) reported_to: Option<NodeId>,
     pub(super) last_probe: Timestamp,
     pub(super) heard: BTreeMap<NodeId, HeardVersion>,
     /// Highest version that each member heard from has held. Outlives its restarts.
@@ -70,6 +72,7 @@
             last_tick: now,
             last_report: now,
             last_status: now,
+            reported_to: None,
             last_probe: now,
             heard: BTreeMap::new(),
             highest: BTreeMap::new(),
@@ -131,8 +134,7 @@
             at: now,
         };
         self.heard.insert(hello.node.clone(), heard);
-        self.note_held(&hello.node, hello.version);
-        self.reports.note_member(&hello.node, hello.version, now);
+        self.note_held(&hello.node, hello.version, now);
         for report in &hello.reports {
             self.reports.note_group(&hello.node, report, now);
         }
@@ -143,11 +145,17 @@
     }
 
     /// Notes the version that a member holds or is about to put in force.
-    pub fn note_held(&mut self, id: &NodeId, version: Version) {
+    pub fn note_held(&mut self, id: &NodeId, version: Version, now: Timestamp) {
+        self.reports.note_member(id, version, now);
         let highest = self.highest.entry(id.clone()).or_default();
         *highest = version.max(*highest);
     }
 
+    /// Notes that a report of the version held did not arrive.
+    pub fn report_failed(&mut self) {
+        self.reported_to = None;
+    }
+
     /// Notes that a member did not answer.
     pub fn no_answer(&mut self, id: &NodeId, now: Timestamp) {
         self.detector.note_silent(id, now);
@@ -362,12 +370,17 @@
         }
     }
 
+    /// Members that were heard not long ago, with their versions.
+    pub fn heard_lately(&self, now: Timestamp) -> impl Iterator<Item = (&NodeId, &HeardVersion)> {
+        let is_recent = move |heard: &HeardVersion| now.since(heard.at) < super::SUSPECT_AFTER;
+        self.heard.iter().filter(move |(_, heard)| is_recent(heard))
+    }
+
     /// What other controllers see.
     pub fn view(&self, now: Timestamp) -> Members {
-        let is_recent = |heard: &HeardVersion| now.since(heard.at) < super::SUSPECT_AFTER;
-        let recent = self.heard.iter().filter(|(_, heard)| is_recent(heard));
+        let recent = self.heard_lately(now);
         Members {
-            by_id: self.table.by_id.clone(),
+            by_id: Arc::clone(&self.table.by_id),
             links: self.links.keys().cloned().collect(),
             heard: recent.map(|(id, heard)| (id.clone(), *heard)).collect(),
             floor: self.floor,
--- a/crates/lavenderhatch-decide/src/membership/table.rs
+++ b/crates/lavenderhatch-decide/src/membership/table.rs
@@ -43,7 +43,8 @@
 /// Records by name.
 #[derive(Clone, Debug, Default)]
 pub(super) struct MemberTable {
-    pub(super) by_id: BTreeMap<NodeId, Arc<MemberRecord>>,
+    /// Copied on the first change after it was published.
+    pub(super) by_id: Arc<BTreeMap<NodeId, Arc<MemberRecord>>>,
     /// Invariant: the members of `by_id` that are neither left nor failed.
     pub(super) rings: Rings,
     /// Members that have left or failed, and since when.
@@ -60,10 +61,11 @@
             return None;
         }
         let before = present.map(|present| present.state);
-        if let Some(present) = present.filter(|present| is_on_rings(present)) {
+        let record = Arc::new(record);
+        let stays = present.is_some_and(|present| has_same_place(present, &record));
+        if let Some(present) = present.filter(|present| is_on_rings(present) && !stays) {
             self.rings.remove(present);
         }
-        let record = Arc::new(record);
         match record.state {
             MemberState::Unreachable => {
                 self.cut_off.entry(record.id.clone()).or_insert(now);
@@ -71,12 +73,15 @@
             _ => drop(self.cut_off.remove(&record.id)),
         }
         if is_on_rings(&record) {
-            self.rings.insert(&record);
+            if !stays {
+                self.rings.insert(&record);
+            }
             self.gone.remove(&record.id);
         } else {
             self.gone.entry(record.id.clone()).or_insert(now);
         }
-        self.by_id.insert(record.id.clone(), Arc::clone(&record));
+        let by_id = Arc::make_mut(&mut self.by_id);
+        by_id.insert(record.id.clone(), Arc::clone(&record));
         Some(MemberEvent { record, before })
     }
 
@@ -102,7 +107,7 @@
         let old: Vec<NodeId> = old.map(|(id, _)| id.clone()).collect();
         for id in &old {
             self.gone.remove(id);
-            self.by_id.remove(id);
+            Arc::make_mut(&mut self.by_id).remove(id);
         }
         old
     }
@@ -132,6 +137,10 @@
     !matches!(record.state, MemberState::Left | MemberState::Failed)
 }
 
+fn has_same_place(a: &MemberRecord, b: &MemberRecord) -> bool {
+    is_on_rings(a) && is_on_rings(b) && a.zone == b.zone
+}
+
 impl Table for MemberTable {
     fn at_or_after(&self, id: &NodeId) -> Option<&MemberRecord> {
         self.by_id
--- a/crates/lavenderhatch-decide/src/membership/tick.rs
+++ b/crates/lavenderhatch-decide/src/membership/tick.rs
@@ -44,6 +44,8 @@
 pub struct TickActions {
     /// Heartbeats to send.
     pub heartbeats: Vec<HeartbeatTarget>,
+    /// Where to announce the version held, as a report.
+    pub report_to: Option<SocketAddr>,
     /// Whether to read the contacts from the platform.
     pub reads_contacts: bool,
     /// Status of the zone to write, if this daemon is the zone's first reader.
@@ -256,7 +258,7 @@
         let is_leader = leaders.contains(&&self.own.id);
         if let Some(to) = aggregator_of(&leaders, &self.own.id) {
             let report = is_leader.then(|| self.group_report(held, &leaders));
-            return self.push_target(actions, to, report);
+            return self.report_to(actions, to, report, now);
         }
         if now.since(self.last_status) >= STATUS_INTERVAL {
             self.last_status = now;
@@ -265,6 +267,26 @@
         }
     }
 
+    /// A report is the shortest message that does: none to a link, whose heartbeats say the same, an
+    /// announcement to an aggregator that knows this daemon, and else a heartbeat.
+    fn report_to(
+        &mut self,
+        actions: &mut TickActions,
+        to: &NodeId,
+        report: Option<HeldReport>,
+        now: Timestamp,
+    ) {
+        let is_link = self.links.get(to).is_some_and(|link| link.is_heard(now));
+        if report.is_none() && is_link {
+            return;
+        }
+        if report.is_some() || self.reported_to.as_ref() != Some(to) {
+            self.reported_to = Some(to.clone());
+            return self.push_target(actions, to, report);
+        }
+        actions.report_to = self.record(to).map(|record| record.peer_addr);
+    }
+
     fn status(&self, report: HeldReport, live: usize) -> ZoneStatus {
         ZoneStatus {
             zone: self.own.zone.clone(),
--- a/crates/lavenderhatch-decide/tests/testsuite/distribution.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/distribution.rs
@@ -1,6 +1,7 @@
 //! Distribution: what is put in force, and whom a daemon asks.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use lavenderhatch_core::member::{HeardVersion, Members};
 use lavenderhatch_core::{Digest, NodeId, Timestamp, Version};
@@ -143,7 +144,7 @@
         .iter()
         .map(|(n, _)| (node(*n), record(*n, 1, 1).into()));
     Members {
-        by_id: records.collect(),
+        by_id: Arc::new(records.collect()),
         heard: heard.collect(),
         ..Members::default()
     }
@@ -188,12 +189,12 @@
     let members = members(&[(1, 7)]);
     let mut puller = Puller::default();
     assert!(puller.next(Version(6), &members, NOW, 0).is_some());
-    assert!(puller.next(Version(6), &members, at(3_900), 0).is_none());
+    assert!(puller.next(Version(6), &members, at(1_900), 0).is_none());
     assert!(
-        puller.next(Version(6), &members, at(4_000), 0).is_none(),
+        puller.next(Version(6), &members, at(2_000), 0).is_none(),
         "penalty"
     );
-    assert!(puller.next(Version(6), &members, at(6_000), 0).is_some());
+    assert!(puller.next(Version(6), &members, at(4_000), 0).is_some());
 }
 
 /// Guards against a daemon that sends whole sets to half of the fleet at once.
--- a/crates/lavenderhatch-decide/tests/testsuite/membership.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/membership.rs
@@ -148,7 +148,7 @@
     let neighbours: Vec<NodeId> = fleet.get(3).state.view(fleet.now).links;
     for id in &neighbours {
         let member = fleet.members.get_mut(id).unwrap();
-        member.state.note_held(&node(3), Version(6));
+        member.state.note_held(&node(3), Version(6), fleet.now);
     }
     fleet.down.insert(node(3));
     fleet.run_ms(5_000);
--- a/crates/lavenderhatch-decide/tests/testsuite/support/fleet.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/support/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of members that exchange heartbeats and updates.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use lavenderhatch_core::{
     Incarnation, MemberRecord, MemberState, NodeId, Region, ServiceName, Timestamp, Version, Zone,
@@ -154,6 +155,9 @@
         let member = self.members.get_mut(id).unwrap();
         let actions = member.state.tick(held, now, random);
         member.status = actions.status.or(member.status.take());
+        if let Some(addr) = actions.report_to {
+            self.report(id, addr, held.version);
+        }
         for target in actions.heartbeats {
             let member = self.members.get_mut(id).unwrap();
             let mut hello = member.state.hello_for(Some(&target.id), held, now);
@@ -162,6 +166,19 @@
         }
     }
 
+    fn report(&mut self, id: &NodeId, addr: SocketAddr, version: Version) {
+        let mut members = self.members.values().map(|member| member.state.own());
+        let to = members
+            .find(|own| own.peer_addr == addr)
+            .unwrap()
+            .id
+            .clone();
+        if self.reaches(id, &to) {
+            let member = self.members.get_mut(&to).unwrap();
+            member.state.note_held(id, version, self.now);
+        }
+    }
+
     /// Delivers a heartbeat and its answer.
     fn deliver(&mut self, from: &NodeId, to: &NodeId, hello: &Hello) {
         let now = self.now;
