Test a spoiled root object, broken links and late first peers

A record that said 'starting' until a configuration was in force made callers at other daemons meet 503 for up to a second.

A member serves from its start, as before, and a change of its own record goes to all links at the next tick.

--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -225,13 +225,13 @@
             .collect()
     }
 
-    /// Says what this daemon's own state is: it serves once a configuration is in force.
+    /// Says what this daemon's own state is. It serves from its start, because calls that peers hand
+    /// over need no configuration here.
     fn update_own(&mut self, now: Timestamp) {
         let config = self.cx.config.load();
-        let state = match (config.as_ref(), self.cx.drains.load().is_leaving()) {
-            (_, true) => MemberState::Leaving,
-            (Some(_), false) => MemberState::Serving,
-            (None, false) => MemberState::Starting,
+        let state = match self.cx.drains.load().is_leaving() {
+            true => MemberState::Leaving,
+            false => MemberState::Serving,
         };
         let service = self.state.own().service.as_str();
         let services = config
--- a/crates/lavenderhatch-decide/src/membership/state.rs
+++ b/crates/lavenderhatch-decide/src/membership/state.rs
@@ -248,6 +248,8 @@
         self.own.incarnation = incarnation;
         self.own.seq = seq.max(self.own.seq) + 1;
         self.apply(self.own.clone(), None, now);
+        // The next tick tells all links, rather than the next heartbeats.
+        self.links.values_mut().for_each(|link| link.sent = None);
     }
 
     /// Marks the members of a zone as unreachable if so many failed together that it is cut off.
--- a/crates/lavenderhatch-decide/tests/testsuite/membership.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/membership.rs
@@ -39,8 +39,7 @@
     assert!(fleet.records_in_message <= MAX_GOSSIP_RECORDS + 1);
 }
 
-/// Guards against a dead member that stays in use, and against one that is declared failed by a
-/// single observer.
+/// Guards against a dead member that stays in use.
 #[rstest]
 #[case(30, 3)]
 #[case(120, 4)]
@@ -54,6 +53,24 @@
     assert_eq!(fleet.states_of(7), only(MemberState::Failed));
 }
 
+/// Guards against a member that is declared failed because two members cannot reach each other.
+#[test]
+fn broken_link_fails_nobody() {
+    let mut fleet = Fleet::start(30, 3);
+    let peer = fleet.get(0).state.view(fleet.now).links[0].clone();
+    fleet.broken.insert((node(0), peer));
+    fleet.run_ms(20_000);
+    assert!(fleet.suspicions > 0);
+    for n in 0..30 {
+        assert_eq!(fleet.states_of(n), only(MemberState::Serving), "n{n}");
+        assert_eq!(
+            fleet.get(n).state.own().seq,
+            1,
+            "n{n} had to refute its failure"
+        );
+    }
+}
+
 /// Guards against a zone without readers after both of its readers have died.
 #[test]
 fn next_members_read_after_readers_have_died() {
@@ -77,7 +94,9 @@
     fleet.run_ms(10_000);
     assert_eq!(fleet.states_of(4), only(MemberState::Failed));
     fleet.down.remove(&node(4));
+    let suspicions = fleet.suspicions;
     fleet.run_ms(15_000);
+    assert_eq!(fleet.suspicions, suspicions);
     assert_eq!(fleet.states_of(4), only(MemberState::Serving));
     let view = fleet.get(4).state.view(fleet.now);
     assert_eq!(view.live().count(), 30);
@@ -143,17 +162,19 @@
     fleet.accept(0, 5);
     fleet.run_ms(4_000);
     assert!(fleet.behind(5).is_empty());
-    // One member holds the next version and is seen to hold it, but nobody has fetched it.
+    // One member holds the next version, and one other has seen that, but nobody has fetched it.
+    // That other is the last to answer after the restart.
     fleet.accept(3, 6);
-    let neighbours: Vec<NodeId> = fleet.get(3).state.view(fleet.now).links;
-    for id in &neighbours {
-        let member = fleet.members.get_mut(id).unwrap();
-        member.state.note_held(&node(3), Version(6), fleet.now);
-    }
+    let witness = fleet.get(3).state.view(fleet.now).links[0].clone();
+    let member = fleet.members.get_mut(&witness).unwrap();
+    member.state.note_held(&node(3), Version(6), fleet.now);
     fleet.down.insert(node(3));
     fleet.run_ms(5_000);
+    fleet.broken.insert((node(3), witness));
     fleet.add(3);
-    fleet.run_ms(10_000);
+    fleet.run_ms(2_000);
+    fleet.broken.clear();
+    fleet.run_ms(8_000);
     assert_eq!(fleet.get(3).state.floor(), Version(6));
     assert_eq!(fleet.get(3).history, Vec::<Version>::new());
     fleet.accept(1, 6);
--- a/crates/lavenderhatch-decide/tests/testsuite/support/fleet.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/support/fleet.rs
@@ -54,8 +54,12 @@
     pub(crate) down: BTreeSet<NodeId>,
     /// Zones that cannot reach other zones.
     pub(crate) cut: BTreeSet<Zone>,
+    /// Pairs of members that cannot reach each other.
+    pub(crate) broken: BTreeSet<(NodeId, NodeId)>,
     random: u64,
-    /// Most records and most estimated bytes of records that one member sent in one second.
+    /// Suspicions sent.
+    pub(crate) suspicions: usize,
+    /// Most records in one message.
     pub(crate) records_in_message: usize,
 }
 
@@ -68,6 +72,8 @@
             members: BTreeMap::new(),
             down: BTreeSet::new(),
             cut: BTreeSet::new(),
+            broken: BTreeSet::new(),
+            suspicions: 0,
             random: 1,
             records_in_message: 0,
         };
@@ -139,7 +145,9 @@
         let zone = |id: &NodeId| &self.members[id].state.own().zone;
         let is_cut =
             zone(a) != zone(b) && (self.cut.contains(zone(a)) || self.cut.contains(zone(b)));
-        !self.down.contains(a) && !self.down.contains(b) && !is_cut
+        let is_broken = |a: &NodeId, b: &NodeId| self.broken.contains(&(a.clone(), b.clone()));
+        let is_down = self.down.contains(a) || self.down.contains(b);
+        !is_down && !is_cut && !is_broken(a, b) && !is_broken(b, a)
     }
 
     fn held(&self, id: &NodeId) -> HeldVersion {
@@ -183,6 +191,7 @@
     fn deliver(&mut self, from: &NodeId, to: &NodeId, hello: &Hello) {
         let now = self.now;
         self.records_in_message = self.records_in_message.max(hello.records.len());
+        self.suspicions += hello.suspects.len();
         if !self.reaches(from, to) {
             let sender = self.members.get_mut(from).unwrap();
             return sender.state.no_answer(to, now);
--- a/tests/testsuite/distribution.rs
+++ b/tests/testsuite/distribution.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lavenderhatch_platform::Platform;
+use lavenderhatch_platform::{Expected, Platform};
 
 use crate::support::{Cluster, Node, poll};
 
@@ -20,6 +20,19 @@
         .map_or(0, |status| status["version"].as_u64().unwrap())
 }
 
+fn has_event(node: &Node, action: &str) -> bool {
+    let mut res = ureq::get(format!("http://{}/audit", node.admin_addr))
+        .call()
+        .unwrap();
+    let body = res.body_mut().read_to_vec().unwrap();
+    let log: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    log["events"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .any(|event| event["action"] == action)
+}
+
 /// Waits until a daemon has a version. Each version that it shows on the way must be one of
 /// `allowed`, in this order.
 fn follow(node: &Node, allowed: &[u64]) {
@@ -111,11 +124,15 @@
     cluster.nodes.remove(3);
     cluster.nodes.remove(0);
     poll(FAILURE_LIMIT, "failure of the dead", || {
-        let members = cluster.nodes[0].status()?["members"].clone();
-        let members = members.as_array()?.clone();
-        let is_live = |member: &&serde_json::Value| member["record"]["state"] == "serving";
-        (members.iter().filter(is_live).count() == 4).then_some(())
+        let status = cluster.nodes[0].status()?;
+        let members = status["members"].as_array()?;
+        let is_gone = |member: &&serde_json::Value| {
+            let state = &member["record"]["state"];
+            state == "failed" || state == "unreachable"
+        };
+        (members.iter().filter(is_gone).count() == 4).then_some(())
     });
+    assert!(has_event(&cluster.nodes[0], "member-changed"));
     cluster.apply(&mesh(2));
     for node in &cluster.nodes {
         follow(node, &[1, 2]);
@@ -131,6 +148,30 @@
     });
 }
 
+/// Guards against a spoiled root object that is applied, that no audit event tells of, or that stops
+/// later versions.
+#[test]
+fn spoiled_version_is_refused_everywhere() {
+    let cluster = start(3);
+    let object = cluster.platform.get("mesh/root").unwrap().unwrap();
+    let mut root: serde_json::Value = serde_json::from_slice(&object.value).unwrap();
+    root["version"] = 2.into();
+    root["content"]["inline"]["services"]["orders"]["slots"] = 7.into();
+    let value = serde_json::to_vec(&root).unwrap();
+    let expected = Expected::Version(object.version);
+    cluster.platform.put("mesh/root", &value, expected).unwrap();
+    poll(LIMIT, "an audit event of the refusal", || {
+        let mut nodes = cluster.nodes.iter();
+        nodes
+            .any(|node| has_event(node, "update-refused"))
+            .then_some(())
+    });
+    cluster.apply(&mesh(3));
+    for node in &cluster.nodes {
+        follow(node, &[1, 3]);
+    }
+}
+
 /// Guards against control bytes that are not counted or that include calls.
 #[test]
 fn control_bytes_are_counted_without_calls() {
