Follow the stop controller's state and the fixtures of main

Cause: main has a stop controller that says this server's state, and addresses of their own for daemons in tests and measurements.

Change: the membership controller takes the state from the drains at once, and the measurement uses those addresses.

--- a/crates/lavenderhatch-bench/src/bin/convergence/fleet.rs
+++ b/crates/lavenderhatch-bench/src/bin/convergence/fleet.rs
@@ -1,7 +1,6 @@
 //! Daemon processes and the platform stand-in.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,7 @@
 use lavenderhatch_platform::server::PlatformServer;
 use lavenderhatch_platform::{CallCounts, Faults, MemoryPlatform};
 
-use crate::process::{Daemon, Usage, free_addrs};
+use crate::process::{Daemon, Usage, addrs};
 
 /// Time between two looks at a daemon that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,8 +33,7 @@
         let dir = std::env::temp_dir().join(format!("convergence-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let platform = MemoryPlatform::default();
-        let addrs = free_addrs(count + 1)?;
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, addrs[count][0].port()));
+        let [addr, ..] = addrs();
         let server = PlatformServer::bind(addr, platform.clone())?;
         let mut fleet = Self {
             daemons: Vec::with_capacity(count),
@@ -45,9 +43,9 @@
             dir,
         };
         fleet.apply(1)?;
-        for (n, addrs) in addrs[..count].iter().enumerate() {
+        for n in 0..count {
             let name = format!("d{n}");
-            let daemon = Daemon::start(&fleet.dir, &name, n % zones, addrs, addr)?;
+            let daemon = Daemon::start(&fleet.dir, &name, n % zones, &addrs(), addr)?;
             fleet.daemons.push(daemon);
         }
         fleet.wait_for_all()?;
--- a/crates/lavenderhatch-bench/src/bin/convergence/process.rs
+++ b/crates/lavenderhatch-bench/src/bin/convergence/process.rs
@@ -1,37 +1,25 @@
 //! A daemon process.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
-use eyre::{Result, WrapErr, bail, eyre};
+use eyre::{Result, WrapErr, eyre};
 use lavenderhatch_core::audit::AuditLog;
 use lavenderhatch_daemon::admin::DaemonStatus;
+use lavenderhatch_standin::next_loopback_ip;
 use serde::de::DeserializeOwned;
 
 /// Clock ticks in a second, in which the kernel counts processor time.
 const TICKS_PER_SECOND: f64 = 100.0;
 
-/// First port that is tried. The ports lie below those that the kernel gives to outgoing
-/// connections, which would otherwise take a port between the look for it and its use.
-const FIRST_PORT: u16 = 12_000;
+/// Port of each daemon; they differ by address.
+const PORT: u16 = 7000;
 
-/// Three loopback addresses for each of `count` daemons, free a moment ago.
-pub(crate) fn free_addrs(count: usize) -> Result<Vec<[SocketAddr; 3]>> {
-    let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
-    let ports: Vec<u16> = (FIRST_PORT..32_000)
-        .filter(is_free)
-        .take(3 * count)
-        .collect();
-    if ports.len() < 3 * count {
-        bail!("too few free ports");
-    }
-    let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-    let addrs = ports.chunks_exact(3);
-    Ok(addrs
-        .map(|c| [addr(c[0]), addr(c[1]), addr(c[2])])
-        .collect())
+/// Three loopback addresses that nobody else uses.
+pub(crate) fn addrs() -> [SocketAddr; 3] {
+    [(); 3].map(|()| (next_loopback_ip(), PORT).into())
 }
 
 /// What a process has used so far.
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -10,7 +10,7 @@
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
 use lavenderhatch_core::drain::Drains;
 use lavenderhatch_core::member::Members;
-use lavenderhatch_core::{ConfigSnapshot, MemberRecord, MemberState, NodeId, Timestamp, Version};
+use lavenderhatch_core::{ConfigSnapshot, MemberRecord, NodeId, Timestamp, Version};
 use lavenderhatch_decide::membership::{HeldVersion, MemberEvent, Membership};
 use lavenderhatch_decide::message::Hello;
 use tracing::{debug, info};
@@ -103,6 +103,7 @@
 
     fn run(mut self, stop: &Receiver<()>) {
         let ticks = tick(TICK);
+        let drains_woken = self.cx.drains.subscribe();
         self.publish();
         loop {
             select! {
@@ -128,6 +129,7 @@
                     Ok(contacts) => self.learn(&contacts),
                     Err(_) => return,
                 },
+                recv(drains_woken) -> _ => self.tick(),
                 recv(ticks) -> _ => self.tick(),
             }
             if self.urgent() != self.published {
@@ -229,10 +231,7 @@
     /// over need no configuration here.
     fn update_own(&mut self, now: Timestamp) {
         let config = self.cx.config.load();
-        let state = match self.cx.drains.load().is_leaving() {
-            true => MemberState::Leaving,
-            false => MemberState::Serving,
-        };
+        let state = self.cx.drains.load().own_state();
         let service = self.state.own().service.as_str();
         let services = config
             .as_ref()
--- a/crates/lavenderhatch-decide/tests/testsuite/member_fixture.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/member_fixture.rs
@@ -33,7 +33,7 @@
 pub(crate) fn members(records: impl IntoIterator<Item = MemberRecord>) -> Members {
     let by_id = records.into_iter().map(|r| (r.id.clone(), Arc::new(r)));
     Members {
-        by_id: by_id.collect(),
+        by_id: Arc::new(by_id.collect()),
         is_joined: true,
         ..Members::default()
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod callers;
+mod distribution;
 mod endpoints;
 mod stops;
-mod distribution;
 mod support;
 mod whole_path;
