Time membership and distribution by a clock that never goes back

Cause: with the system clock set back, a daemon would send no heartbeat until the old time came round again, and be failed by all others.

Change: both controllers count on from the system time at their start. Audit events and the time of a switch keep the system clock.

Conclusion: not shown by a test, because the daemon reads the clock itself.

--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod membership;
 mod platform_reader;
+mod steady_clock;
 mod stop;
 mod zone_objects;
 
--- a/crates/lavenderhatch-daemon/src/controller/distribution.rs
+++ b/crates/lavenderhatch-daemon/src/controller/distribution.rs
@@ -18,6 +18,7 @@
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
 use super::platform_reader::RootNews;
+use super::steady_clock::SteadyClock;
 use crate::peer::{DistributionRequest, PeerCommand, PeerLinks, PeerReply};
 
 /// Time between two looks for a member that is ahead.
@@ -63,6 +64,7 @@
 /// The controller's own state.
 struct Running {
     cx: DistributionController,
+    clock: SteadyClock,
     log: DeltaLog,
     puller: Puller,
     transfers: Transfers,
@@ -85,6 +87,7 @@
         let (noted_tx, noted) = bounded(256);
         Self {
             cx,
+            clock: SteadyClock::start(),
             log: DeltaLog::default(),
             puller: Puller::default(),
             transfers: Transfers::default(),
@@ -140,7 +143,7 @@
         match req {
             DistributionRequest::Update { req, reply } => reply.send(self.answer(&req)),
             DistributionRequest::Announce { from, version, .. } => {
-                let now = Timestamp::from_system_clock();
+                let now = self.clock.now();
                 self.puller.announce(&from, version, now);
             }
         }
@@ -151,7 +154,7 @@
         let Update::Whole(whole) = &update else {
             return update;
         };
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         let started = self.transfers.start(whole.mesh.len(), now, rand::random());
         match started {
             Ok(()) => update,
@@ -165,7 +168,7 @@
         if !members.is_joined {
             return;
         }
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         let pull = self.puller.next(self.held(), &members, now, rand::random());
         let Some(pull) = pull else { return };
         let Some(record) = members.get(pull.from.as_str()) else {
@@ -199,13 +202,13 @@
                 PullResult::NoAnswer
             }
         };
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         self.puller.finish(&from, result, now);
     }
 
     /// Decides on an update and puts it in force if it is sound and new.
     fn evaluate(&mut self, update: &Update, source: Source) -> Result<PullResult, Refusal> {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         let floor = self.cx.members.load().floor;
         match evaluate_update(self.log.snapshot(), floor, update, now) {
             Ok(Step::Apply(snapshot)) => {
@@ -217,6 +220,7 @@
             Ok(Step::AskLater(wait)) => Ok(PullResult::Busy(wait)),
             Err(refusal) => {
                 warn!("config: update refused: {refusal}");
+                let now = Timestamp::from_system_clock();
                 self.report(AuditAction::UpdateRefused, None, refusal.to_string(), now);
                 Err(refusal)
             }
@@ -251,7 +255,7 @@
 
     /// Puts the version in force that waits to be noted, also if nobody has answered in time.
     fn put_overdue(&mut self) {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         if self
             .pending
             .as_ref()
--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -17,6 +17,7 @@
 
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
+use super::steady_clock::SteadyClock;
 use super::zone_objects::ZoneJob;
 use crate::peer::{HeartbeatRequest, MemberRequest, PeerCommand, PeerLinks, PeerReply};
 
@@ -66,6 +67,7 @@
 /// The controller's own state.
 struct Running {
     cx: MembershipController,
+    clock: SteadyClock,
     state: Membership,
     /// Names of the members to whom heartbeats were sent.
     targets: HashMap<SocketAddr, NodeId>,
@@ -84,10 +86,12 @@
         // Bounded, so that answers that this thread cannot take in time hold back their links.
         let (answers_tx, answers) = bounded(1024);
         let (reported_tx, reported) = bounded(16);
-        let now = Timestamp::from_system_clock();
+        let clock = SteadyClock::start();
+        let now = clock.now();
         let state = Membership::new(cx.own.clone(), now, rand::random());
         Self {
             cx,
+            clock,
             state,
             targets: HashMap::new(),
             newest: Version::NONE,
@@ -111,7 +115,7 @@
                 recv(self.cx.requests) -> req => match req {
                     Ok(MemberRequest::Heartbeat(req)) => self.answer(req),
                     Ok(MemberRequest::Held { node, version }) => {
-                        let now = Timestamp::from_system_clock();
+                        let now = self.clock.now();
                         self.state.note_held(&node, version, now);
                     }
                     Err(_) => return,
@@ -148,7 +152,7 @@
     }
 
     fn answer(&mut self, req: HeartbeatRequest) {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         self.receive(&req.hello, now);
         let (peer, held) = (&req.hello.node, self.held());
         let has_introduced = req.hello.records.iter().any(|record| record.id == *peer);
@@ -160,7 +164,7 @@
     }
 
     fn take_answer(&mut self, reply: PeerReply<Hello>) {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         match reply.result {
             Ok(hello) => self.receive(&hello, now),
             Err(err) => {
@@ -176,22 +180,22 @@
         self.newest = self.newest.max(hello.version);
         let events = self.state.receive(hello, now);
         self.is_changed |= !events.is_empty();
-        self.report(&events, now);
+        self.report(&events);
     }
 
     fn learn(&mut self, contacts: &[MemberRecord]) {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         let events = self.state.learn(contacts, now);
         self.is_changed |= !events.is_empty();
     }
 
     fn tick(&mut self) {
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         self.update_own(now);
         let held = self.held();
         let actions = self.state.tick(held, now, rand::random());
         self.is_changed |= !actions.events.is_empty();
-        self.report(&actions.events, now);
+        self.report(&actions.events);
         for target in actions.heartbeats {
             let mut hello = self.state.hello_for(Some(&target.id), held, now);
             hello.reports.extend(target.report);
@@ -260,7 +264,7 @@
         self.cx.links.send(addr, command);
     }
 
-    fn report(&self, events: &[MemberEvent], now: Timestamp) {
+    fn report(&self, events: &[MemberEvent]) {
         for event in events {
             let reason = match (event.is_failure(), event.is_return()) {
                 (true, _) => format!("is {:?}", event.record.state).to_lowercase(),
@@ -269,7 +273,7 @@
             };
             info!("member: {} {reason}", event.record.id);
             self.cx.audit.send(AuditEvent {
-                at: now,
+                at: Timestamp::from_system_clock(),
                 actor: self.cx.own.id.to_string(),
                 action: AuditAction::MemberChanged,
                 object: event.record.id.to_string(),
@@ -291,7 +295,7 @@
     fn publish(&mut self) {
         self.published = self.urgent();
         self.is_changed = false;
-        let now = Timestamp::from_system_clock();
+        let now = self.clock.now();
         self.published_heard = self.heard(now);
         self.cx.members.publish(self.state.view(now));
     }
