--- a/crates/lavenderhatch-bench/src/bin/orders/owners.rs
+++ b/crates/lavenderhatch-bench/src/bin/orders/owners.rs
@@ -28,7 +28,7 @@
     let mut known = Members::default();
     for n in 0..members {
         let record = record(n)?;
-        known.by_id.insert(record.id.clone(), Arc::new(record));
+        Arc::make_mut(&mut known.by_id).insert(record.id.clone(), Arc::new(record));
     }
     let mut owners = RangeOwners::default();
     let rank_ms = mean_ms(|| owners = RangeOwners::of(&known));
--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -12,7 +12,9 @@
 mod order_io;
 mod order_resends;
 mod platform_reader;
+mod steady_clock;
 mod stop;
+mod zone_objects;
 
 pub(crate) use platform_reader::news_channel;
 
@@ -24,3 +26,4 @@
 pub use order::OrderController;
 pub use platform_reader::{PlatformReader, RootNews};
 pub use stop::{LeaveSender, StopController};
+pub use zone_objects::{ZoneJob, ZoneObjects};
--- a/crates/lavenderhatch-daemon/src/peer.rs
+++ b/crates/lavenderhatch-daemon/src/peer.rs
@@ -10,12 +10,14 @@
 mod links;
 mod port;
 mod service;
+mod traffic;
 
 pub use command::{PeerCommand, PeerReply};
 pub use error::PeerError;
 pub use inbox::{
     BeginOrder, BeginReply, CarryJob, DistributionRequest, FinishOrder, HeartbeatRequest, Inboxes,
-    OrderRequest, Reply,
+    MemberRequest, OrderRequest, Reply,
 };
 pub use links::PeerLinks;
 pub use port::PeerPort;
+pub use traffic::{ControlBytes, ControlTraffic};
--- a/crates/lavenderhatch-daemon/src/peer/inbox.rs
+++ b/crates/lavenderhatch-daemon/src/peer/inbox.rs
@@ -4,7 +4,7 @@
 
 use crossbeam::channel::Sender;
 use lavenderhatch_core::call::{CallAnswer, StoredCall};
-use lavenderhatch_core::{Digest, Error, Version};
+use lavenderhatch_core::{Digest, Error, NodeId, Version};
 use lavenderhatch_decide::message::{
     Claim, ClaimVerdict, Hello, OutcomeRecord, Update, UpdateRequest,
 };
@@ -33,6 +33,20 @@
     }
 }
 
+/// A request that concerns the membership.
+#[derive(Debug)]
+pub enum MemberRequest {
+    /// A heartbeat.
+    Heartbeat(HeartbeatRequest),
+    /// A peer announces the version that it is about to put in force.
+    Held {
+        /// The peer.
+        node: NodeId,
+        /// The version.
+        version: Version,
+    },
+}
+
 /// A heartbeat from another daemon.
 #[derive(Debug)]
 pub struct HeartbeatRequest {
@@ -47,6 +61,8 @@
 pub enum DistributionRequest {
     /// A peer announces a version.
     Announce {
+        /// The peer, as its heartbeats on the same connection name it.
+        from: NodeId,
         /// Version in force on the peer.
         version: Version,
         /// Digest of its mesh.
@@ -135,8 +151,8 @@
 /// Channels to the threads that decide on requests of peers.
 #[derive(Clone, Debug)]
 pub struct Inboxes {
-    /// Heartbeats, to the membership controller.
-    pub heartbeats: Sender<HeartbeatRequest>,
+    /// Heartbeats and held versions, to the membership controller.
+    pub members: Sender<MemberRequest>,
     /// Announcements and update requests, to the distribution controller.
     pub distribution: Sender<DistributionRequest>,
     /// Claims and outcomes, to the order controller.
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -15,7 +15,7 @@
     ConfigSnapshot, Error, ErrorKind, Incarnation, MemberRecord, MemberState, Mesh, NodeId, Region,
     ServiceName, Timestamp, Version, Zone,
 };
-use lavenderhatch_daemon::peer::{PeerError, PeerLinks};
+use lavenderhatch_daemon::peer::{ControlTraffic, PeerError, PeerLinks};
 use lavenderhatch_daemon::request::{
     Backend, IncomingRequest, OrderClient, PeerCaller, RequestPath,
 };
@@ -120,7 +120,11 @@
         state: MemberState::Serving,
     };
     let (controller, _) = bounded(1);
-    OrderClient::new(&record, controller, PeerLinks::spawn(1).unwrap())
+    OrderClient::new(
+        &record,
+        controller,
+        PeerLinks::spawn(1, &ControlTraffic::default()).unwrap(),
+    )
 }
 
 fn leave(writers: &Writers) {
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`distribution`]: how an accepted version reaches each daemon.
 //! - [`stops`]: when a backend server leaves for a planned stop or a signal.
 //! - [`endpoints`]: which backend servers may be chosen, and with which weight.
+//! - [`membership`]: who the members are, and which of them have failed.
 //! - [`routing`]: which backend server runs a call.
 //! - [`orders`]: how an order runs at most once.
 //! - [`message`]: messages between daemons, independent of their encoding.
@@ -14,6 +15,7 @@
 pub mod acceptance;
 pub mod distribution;
 pub mod endpoints;
+pub mod membership;
 pub mod message;
 pub mod orders;
 pub mod routing;
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod distribution;
 mod endpoints;
 mod member_fixture;
+mod membership;
 mod orders;
 mod stops;
+mod support;
--- a/crates/lavenderhatch-decide/tests/testsuite/orders/members.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/orders/members.rs
@@ -19,5 +19,5 @@
     let record: MemberRecord = serde_json::from_str(&text).unwrap();
     assert_eq!(record.incarnation, Incarnation(incarnation));
     let record = MemberRecord { state, ..record };
-    members.by_id.insert(name(id), Arc::new(record));
+    Arc::make_mut(&mut members.by_id).insert(name(id), Arc::new(record));
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod callers;
+mod distribution;
 mod endpoints;
 mod orders;
 mod stops;
