Refuse an order with a chosen key before its claim where the server leaves

Cause: since planned stops, a leaving server claimed an order, refused it and released the claim, so that the next server could meet the claim and answer key-in-flight; and a daemon without a configuration counted as having looked at the key. Change: the claim is not asked for on a leaving server. Refusals that say nothing about the key (leaving, not-ready) do not count as a look at it.

--- a/crates/lavenderhatch-daemon/src/request/order.rs
+++ b/crates/lavenderhatch-daemon/src/request/order.rs
@@ -175,17 +175,20 @@
     }
 }
 
-/// Whether a backend server has looked at an order.
+/// Whether a backend server has looked at the key of an order.
 ///
-/// A refusal by a backend server comes after its claim was granted or refused, and so speaks for
-/// all calls with the key. Without one, an earlier call with the same key may have run.
+/// A refusal after the claim was granted or refused speaks for all calls with the key. Without one,
+/// an earlier call with the same key may have run.
 #[derive(Debug, Default)]
 pub(super) struct Asked(Cell<bool>);
 
 impl Asked {
     /// Notes that a backend server gave this result.
     pub(super) fn note(&self, result: Result<CallAnswer, Error>) -> Result<CallAnswer, Error> {
-        self.0.set(true);
+        let kind = result.as_ref().map_err(Error::kind);
+        if !matches!(kind, Err(ErrorKind::Leaving | ErrorKind::NotReady)) {
+            self.0.set(true);
+        }
         result
     }
 
@@ -199,7 +202,7 @@
 /// Errors in the request itself stay, because they are the same for each call with the key.
 pub(super) fn without_record(is_keyed: bool, err: Error) -> Error {
     match err.kind() {
-        ErrorKind::NoBackend | ErrorKind::NotReady if is_keyed => {
+        ErrorKind::NoBackend | ErrorKind::NotReady | ErrorKind::Leaving if is_keyed => {
             let message = format!("{}; ask again with the same key", err.message());
             Error::new(ErrorKind::OutcomeUnknown, message)
         }
@@ -239,6 +242,10 @@
             return self.run_here(call, time_left);
         };
         let form = self.key_form(key, call)?;
+        if form == KeyForm::Chosen && self.board.drains.load().is_leaving() {
+            // Before the claim, which would have to be released before another server can run it.
+            return Err(self.leaving());
+        }
         let request = request_digest(&call.method, &call.target, &call.body);
         let start = Instant::now();
         let begun = self.orders.begin(key_hash(key), request, form, time_left);
--- a/crates/lavenderhatch-daemon/src/request/order_keys.rs
+++ b/crates/lavenderhatch-daemon/src/request/order_keys.rs
@@ -65,8 +65,7 @@
 
     pub(super) fn issue_key(&self, call: &StoredCall) -> Result<CallAnswer, Error> {
         if self.board.drains.load().is_leaving() {
-            let message = format!("{} is leaving", self.own);
-            return Err(Error::new(ErrorKind::Leaving, message));
+            return Err(self.leaving());
         }
         self.check_service(&self.own, call)?;
         Ok(CallAnswer {
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -248,7 +248,7 @@
         self.backend.run(&call.view(), time_left)
     }
 
-    fn leaving(&self) -> Error {
+    pub(super) fn leaving(&self) -> Error {
         Error::new(ErrorKind::Leaving, format!("{} is leaving", self.own))
     }
 
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -104,7 +104,7 @@
     (path, board, writers)
 }
 
-/// No order here has a key, so that nothing is asked of the order controller.
+/// A client without an order controller: a look at a key fails.
 fn orders() -> OrderClient {
     let addr = "127.0.0.1:1".parse().unwrap();
     let record = MemberRecord {
@@ -149,6 +149,19 @@
     }
 }
 
+fn request() -> IncomingRequest<'static> {
+    IncomingRequest {
+        method: "POST",
+        target: "/orders",
+        headers: &[],
+        body: &[],
+        key: None,
+        deadline: None,
+        depth: 0,
+        call_id: None,
+    }
+}
+
 /// Guards against work that peers bring after the start of a stop because they have not heard.
 #[test]
 fn leaving_daemon_refuses_peers() {
@@ -160,6 +173,34 @@
     assert_eq!((answer.error, answer.outcome), refused);
 }
 
+/// Guards against a claim that is written for an order which the daemon then refuses, and against
+/// "not run" from servers that have not looked at the key. Here, a look at the key fails.
+#[test]
+fn leaving_daemon_claims_no_order() {
+    let key = Some("k".to_owned());
+    let call = StoredCall {
+        key,
+        ..call_of_peer()
+    };
+    let (path, _board, writers) = open(12);
+    assert_eq!(
+        path.run_for_peer(&call).error,
+        Some(ErrorKind::OutcomeUnknown)
+    );
+    leave(&writers);
+    assert_eq!(path.run_for_peer(&call).error, Some(ErrorKind::Leaving));
+    let req = IncomingRequest {
+        key: Some("k"),
+        ..request()
+    };
+    assert_eq!(path.handle(&req, &mut || 0).outcome, Outcome::Unknown);
+    let answer = path.handle(&request(), &mut || 0);
+    assert_eq!(
+        (answer.error, answer.outcome),
+        (Some(ErrorKind::Leaving), Outcome::NotRun)
+    );
+}
+
 /// Guards against work that a restarted daemon takes before it knows its own stops.
 #[test]
 fn daemon_without_configuration_refuses_peers() {
@@ -179,18 +220,8 @@
     for seed in 0..32_u64 {
         let (path, _board, writers) = open(refusals);
         leave(&writers);
-        let req = IncomingRequest {
-            method: "POST",
-            target: "/orders",
-            headers: &[],
-            body: &[],
-            key: None,
-            deadline: None,
-            depth: 0,
-            call_id: None,
-        };
         let mut random = || seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        assert_eq!(path.handle(&req, &mut random).body, b"there");
+        assert_eq!(path.handle(&request(), &mut random).body, b"there");
     }
 }
 
