--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -8,7 +8,7 @@
 use lavenderhatch_standin::Behaviour;
 use rstest::rstest;
 use ureq::Agent;
-use ureq::http::Response;
+use ureq::http::HeaderMap;
 
 use crate::support::{Cluster, Node, poll};
 
@@ -26,12 +26,22 @@
 
 struct Answer {
     status: u16,
-    outcome: String,
-    error: Option<String>,
-    recorded: Option<String>,
+    headers: HeaderMap,
     body: String,
 }
 
+impl Answer {
+    /// A header of lavenderhatch, empty if there is none.
+    fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(format!("lavenderhatch-{name}"));
+        value.map_or("", |value| value.to_str().unwrap())
+    }
+
+    fn outcome(&self) -> &str {
+        self.header("outcome")
+    }
+}
+
 /// Two daemons that run orders, one that only forwards them, and all ranges owned.
 fn start() -> Cluster {
     let cluster = Cluster::start(&["orders", "orders", "front"]);
@@ -59,15 +69,9 @@
         req = req.header("idempotency-key", key);
     }
     let mut res = req.send(body).unwrap();
-    let header = |res: &Response<_>, name: &str| {
-        let value = res.headers().get(name)?;
-        Some(value.to_str().unwrap().to_owned())
-    };
     Answer {
         status: res.status().as_u16(),
-        outcome: header(&res, "lavenderhatch-outcome").unwrap(),
-        error: header(&res, "lavenderhatch-error"),
-        recorded: header(&res, "lavenderhatch-recorded"),
+        headers: res.headers().clone(),
         body: res.body_mut().read_to_string().unwrap(),
     }
 }
@@ -109,25 +113,22 @@
     };
     let first = order(&cluster, 2, &key);
     assert_eq!(
-        (first.status, first.outcome.as_str()),
+        (first.status, first.outcome()),
         (200, "ran"),
         "{}",
         first.body
     );
-    assert_eq!(first.recorded, None);
+    assert_eq!(first.header("recorded"), "");
     for node in [0, 1, 2, 0, 1] {
         let again = order(&cluster, node, &key);
-        match again.recorded.as_deref() {
-            Some("whole") => assert_eq!(again.body, first.body),
-            Some("status") => assert!(!is_issued && again.body.is_empty()),
+        match (again.header("recorded"), again.header("error")) {
+            ("whole", "") => assert_eq!(again.body, first.body),
+            ("status", "") => assert!(!is_issued && again.body.is_empty()),
             // The outcome may still be on its way to the owner of the range.
-            other => assert_eq!(
-                (other, again.error.as_deref()),
-                (None, Some("key-in-flight"))
-            ),
+            (recorded, error) => assert_eq!((recorded, error), ("", "key-in-flight")),
         }
-        if again.error.is_none() {
-            assert_eq!((again.status, again.outcome.as_str()), (200, "ran"));
+        if again.header("error").is_empty() {
+            assert_eq!((again.status, again.outcome()), (200, "ran"));
         }
     }
     let other = post(
@@ -136,12 +137,7 @@
         Some(&key),
         "two pallets",
     );
-    assert_eq!(
-        other.error.as_deref(),
-        Some("key-conflict"),
-        "{}",
-        other.body
-    );
+    assert_eq!(other.header("error"), "key-conflict", "{}", other.body);
     assert_eq!(runs(&cluster, &key), 1);
 }
 
@@ -155,8 +151,8 @@
             let cluster = &cluster;
             scope.spawn(move || {
                 let answer = order(cluster, node, key);
-                let is_refused = answer.error.as_deref() == Some("key-in-flight");
-                assert!(is_refused || answer.outcome == "ran", "{}", answer.body);
+                let is_refused = answer.header("error") == "key-in-flight";
+                assert!(is_refused || answer.outcome() == "ran", "{}", answer.body);
             });
         }
     });
@@ -176,19 +172,19 @@
     });
     let refused = order(&cluster, 0, "during-outage");
     assert_eq!(
-        refused.error.as_deref(),
-        Some("claim-unavailable"),
+        refused.header("error"),
+        "claim-unavailable",
         "{}",
         refused.body
     );
-    assert_eq!(refused.outcome, "not-run");
+    assert_eq!(refused.outcome(), "not-run");
     assert_eq!(runs(&cluster, "during-outage"), 0);
     let key = issue(&cluster, 2);
-    assert_eq!(order(&cluster, 0, &key).outcome, "ran");
+    assert_eq!(order(&cluster, 0, &key).outcome(), "ran");
     assert_eq!(runs(&cluster, &key), 1);
     cluster.platform.set_faults(Faults::default());
     let answer = order(&cluster, 1, "during-outage");
-    assert_eq!(answer.outcome, "ran", "{}", answer.body);
+    assert_eq!(answer.outcome(), "ran", "{}", answer.body);
     assert_eq!(runs(&cluster, "during-outage"), 1);
 }
 
@@ -203,7 +199,7 @@
         ..Faults::default()
     });
     let answer = order(&cluster, 0, "lost");
-    assert_eq!(answer.outcome, "ran", "{}", answer.body);
+    assert_eq!(answer.outcome(), "ran", "{}", answer.body);
     assert_eq!(cluster.platform.faults().lost_answers, 0);
     assert_eq!(order(&cluster, 0, "lost").status, 200);
     assert_eq!(runs(&cluster, "lost"), 1);
@@ -237,14 +233,14 @@
     });
     cluster.nodes[executor].kill();
     let first = first.join().unwrap();
-    assert_eq!(first.outcome, "unknown", "{}", first.body);
+    assert_eq!(first.outcome(), "unknown", "{}", first.body);
     for node in (0..3).filter(|node| *node != executor) {
         let again = order(&cluster, node, &key);
-        assert_eq!(again.outcome, "unknown", "{}", again.body);
+        assert_eq!(again.outcome(), "unknown", "{}", again.body);
     }
     cluster.nodes[executor].start();
     let again = order(&cluster, executor, &key);
-    assert_eq!(again.outcome, "unknown", "{}", again.body);
+    assert_eq!(again.outcome(), "unknown", "{}", again.body);
     assert_eq!(runs(&cluster, &key), 1);
 }
 
@@ -261,6 +257,6 @@
     cluster.apply(MESH);
     cluster.wait_for_version(1);
     let answer = post(cluster.nodes[0].caller_addr, "/orders", key, "one pallet");
-    assert_eq!(answer.error.as_deref(), Some(error), "{}", answer.body);
-    assert_eq!(answer.outcome, outcome);
+    assert_eq!(answer.header("error"), error, "{}", answer.body);
+    assert_eq!(answer.outcome(), outcome);
 }
