Add counters by rank to the load section

Cause: the admission queue needs the calls that enter without waiting and the times for which calls hold their slots, and the request path may not take a lock of the load controller. Conclusion: the request path writes atomics only.

--- a/crates/lavenderhatch-core/src/call.rs
+++ b/crates/lavenderhatch-core/src/call.rs
@@ -19,6 +19,8 @@
 pub const RETRY_AFTER_HEADER: &str = "lavenderhatch-retry-after-ms";
 /// Name of the header of an answer that says whether another hop has already retried.
 pub const RETRY_HEADER: &str = "lavenderhatch-retry";
+/// Value of [`RETRY_HEADER`] on the answer to a call that no hop must retry.
+pub const RETRY_EXHAUSTED: &str = "exhausted";
 /// Name of the header of an answer that names the version in force.
 pub const VERSION_HEADER: &str = "lavenderhatch-version";
 
--- a/crates/lavenderhatch-core/src/endpoint/counters.rs
+++ b/crates/lavenderhatch-core/src/endpoint/counters.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointCounters {
     outstanding: AtomicU32,
+    reported: AtomicU32,
     calls: AtomicU64,
     failures: AtomicU64,
     latency_us: AtomicU64,
@@ -34,6 +35,16 @@
         self.outstanding.load(Ordering::Relaxed)
     }
 
+    /// Takes in the calls of other daemons that the backend server has reported.
+    pub fn report(&self, in_flight: u32) {
+        self.reported.store(in_flight, Ordering::Relaxed);
+    }
+
+    /// Calls of other daemons at the last report.
+    pub fn reported(&self) -> u32 {
+        self.reported.load(Ordering::Relaxed)
+    }
+
     /// Calls that have ended.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
--- a/crates/lavenderhatch-core/src/load.rs
+++ b/crates/lavenderhatch-core/src/load.rs
@@ -1,9 +1,13 @@
 //! The `load` section: concurrency limit and queues of this backend server.
 
+mod rank_counters;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use rank_counters::{RankCounters, SharedCounters};
+
 use crate::names::RankName;
 
 /// Load of one rank.
@@ -26,4 +30,13 @@
     pub in_flight: u32,
     /// Load by rank.
     pub ranks: BTreeMap<RankName, RankLoad>,
+    /// Requests refused in the last second.
+    #[serde(default)]
+    pub refused_per_s: u32,
+    /// Requests admitted in the last second.
+    #[serde(default)]
+    pub admitted_per_s: u32,
+    /// Counters that the request path writes.
+    #[serde(skip)]
+    pub counters: SharedCounters,
 }
--- /dev/null
+++ b/crates/lavenderhatch-core/src/load/rank_counters.rs
@@ -0,0 +1,82 @@
+//! Counters of one rank that the request path writes and the load controller reads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::names::RankName;
+
+/// What the request path has counted for one rank since the start of the daemon.
+#[derive(Debug)]
+pub struct RankCounters {
+    name: RankName,
+    fast_admitted: AtomicU64,
+    finished: AtomicU64,
+    failed: AtomicU64,
+    latency_us: AtomicU64,
+}
+
+impl RankCounters {
+    /// Counters of the rank named `name`.
+    pub fn new(name: RankName) -> Self {
+        Self {
+            name,
+            fast_admitted: AtomicU64::new(0),
+            finished: AtomicU64::new(0),
+            failed: AtomicU64::new(0),
+            latency_us: AtomicU64::new(0),
+        }
+    }
+
+    /// Name of the rank.
+    pub fn name(&self) -> &RankName {
+        &self.name
+    }
+
+    /// Counts a request that entered without waiting.
+    pub fn admit_fast(&self) {
+        self.fast_admitted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request that left its slot after `latency_us` microseconds.
+    pub fn finish(&self, latency_us: u64, is_failure: bool) {
+        self.latency_us.fetch_add(latency_us, Ordering::Relaxed);
+        if is_failure {
+            self.failed.fetch_add(1, Ordering::Relaxed);
+        }
+        self.finished.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests that entered without waiting.
+    pub fn fast_admitted(&self) -> u64 {
+        self.fast_admitted.load(Ordering::Relaxed)
+    }
+
+    /// Requests that have left their slot.
+    pub fn finished(&self) -> u64 {
+        self.finished.load(Ordering::Relaxed)
+    }
+
+    /// Requests that ended in a failure of the back end.
+    pub fn failed(&self) -> u64 {
+        self.failed.load(Ordering::Relaxed)
+    }
+
+    /// Sum of the times that requests held their slots, in microseconds.
+    pub fn latency_sum_us(&self) -> u64 {
+        self.latency_us.load(Ordering::Relaxed)
+    }
+}
+
+/// The counters of all ranks, shared by successive snapshots of the section.
+#[derive(Clone, Debug, Default)]
+pub struct SharedCounters(pub BTreeMap<RankName, Arc<RankCounters>>);
+
+/// Equal if both have the same ranks; the counts themselves change at any moment.
+impl PartialEq for SharedCounters {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.keys().eq(other.0.keys())
+    }
+}
+
+impl Eq for SharedCounters {}
