Add the decisions on ranks, limits, retries and routing

Cause: calls ran in the order of arrival with a fixed number of threads, each refusal was retried without a budget, and zones were ignored. Change: ranks/ holds the admission queue, the learned limit and the advice on retries; retry/ holds the budget and what may be retried; routing/choose.rs prefers the own zone, spills over at 80% of its slots, and takes last-resort backend servers only if nothing else is left.

--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`membership`]: who the members are, and which of them have failed.
 //! - [`routing`]: which backend server runs a call.
 //! - [`orders`]: how an order runs at most once.
+//! - [`ranks`]: which waiting call runs next, and how many run at the same time.
+//! - [`retry`]: which failed calls are tried again.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
@@ -18,5 +20,7 @@
 pub mod membership;
 pub mod message;
 pub mod orders;
+pub mod ranks;
+pub mod retry;
 pub mod routing;
 pub mod stops;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks.rs
@@ -0,0 +1,14 @@
+//! Admission by rank, the concurrency limit, and advice to refused callers.
+
+mod advice;
+mod limit;
+mod policy;
+mod queue;
+mod rank_queue;
+mod service_time;
+mod share_window;
+
+pub use advice::{Backoff, advise_delay};
+pub use limit::{LatencySample, LimitLearner};
+pub use policy::{RankPolicy, RankTable};
+pub use queue::{AdmissionQueue, Granted, Refused, Request};
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks/advice.rs
@@ -0,0 +1,53 @@
+//! When a refused caller should ask again.
+
+/// Shortest mean delay, in milliseconds.
+const MIN_DELAY_MS: u64 = 50;
+/// Longest delay, in milliseconds.
+const MAX_DELAY_MS: u64 = 10_000;
+
+/// Advises a delay in milliseconds to one refused caller.
+///
+/// The delay is spread over the time that the crowd refused in the last second needs at the rate of
+/// the requests admitted in it. `random` is a uniformly distributed number.
+pub fn advise_delay(refused_per_s: u32, admitted_per_s: u32, random: u64) -> u64 {
+    let crowd_ms = u64::from(refused_per_s) * 1000 / u64::from(admitted_per_s.max(1));
+    let span = (2 * crowd_ms).clamp(2 * MIN_DELAY_MS, MAX_DELAY_MS);
+    1 + random % span
+}
+
+/// Ways in which a caller could back off by itself, by the number of its refusals.
+///
+/// Source of full and equal jitter: Brooker, "Exponential Backoff And Jitter", AWS, 2015.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Backoff {
+    /// The base doubles with each refusal.
+    Plain,
+    /// Doubles up to a cap.
+    Capped,
+    /// Anything up to the capped value.
+    FullJitter,
+    /// Half of the capped value and anything up to the other half.
+    EqualJitter,
+}
+
+impl Backoff {
+    /// All ways.
+    pub const ALL: [Backoff; 4] = [
+        Backoff::Plain,
+        Backoff::Capped,
+        Backoff::FullJitter,
+        Backoff::EqualJitter,
+    ];
+
+    /// Delay in milliseconds after `refusals` refusals, which is at least 1.
+    pub fn delay_ms(self, refusals: u32, base_ms: u64, cap_ms: u64, random: u64) -> u64 {
+        let doubled = base_ms.saturating_mul(1 << refusals.saturating_sub(1).min(30));
+        let capped = doubled.min(cap_ms);
+        match self {
+            Backoff::Plain => doubled,
+            Backoff::Capped => capped,
+            Backoff::FullJitter => random % (capped + 1),
+            Backoff::EqualJitter => capped / 2 + random % (capped / 2 + 1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks/limit.rs
@@ -0,0 +1,222 @@
+//! The learned concurrency limit.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+/// Latency over the lowest recent latency at which the limit stops growing. Means of a hundred
+/// samples of an exponential distribution differ by up to a fifth from each other.
+const TOLERANCE: f64 = 1.5;
+/// Greatest cut by latency in one step.
+const LEAST_GRADIENT: f64 = 0.8;
+/// Cut in one step in which errors exceed their level.
+const ERROR_CUT: f64 = 0.7;
+/// Part of failures that cuts the limit.
+const ERROR_LEVEL: f64 = 0.1;
+/// Samples of a step, for each request that may run.
+const SAMPLES_PER_SLOT: f64 = 8.0;
+/// Longest step.
+const MAX_STEP: Duration = Duration::from_secs(1);
+/// Age at which a mean latency no longer counts as recent.
+const BASELINE_AGE: Duration = Duration::from_secs(10);
+/// Time for which the limit may be in full use before a lower limit is probed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Part of the limit that is probed.
+const PROBE_PART: f64 = 0.7;
+/// Part of the limit whose use counts as full.
+const FULL_USE: f64 = 0.9;
+
+/// What finished since the last sample, for one rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LatencySample {
+    /// Requests that left their slot.
+    pub finished: u64,
+    /// Those of them that failed.
+    pub failed: u64,
+    /// Sum of the times that they held their slots, in microseconds.
+    pub latency_sum_us: u64,
+}
+
+impl LatencySample {
+    fn add(&mut self, other: &LatencySample) {
+        self.finished += other.finished;
+        self.failed += other.failed;
+        self.latency_sum_us += other.latency_sum_us;
+    }
+
+    fn mean_us(&self) -> Option<f64> {
+        (self.finished > 0).then(|| self.latency_sum_us as f64 / self.finished as f64)
+    }
+}
+
+/// Lowest of the mean latencies of the last seconds.
+#[derive(Clone, Debug, Default)]
+struct Baseline {
+    /// Means with the end of their step. Invariant: ascending in time and in value.
+    means: VecDeque<(Timestamp, f64)>,
+}
+
+impl Baseline {
+    fn record(&mut self, mean: f64, now: Timestamp) {
+        while self.means.back().is_some_and(|(_, last)| *last >= mean) {
+            self.means.pop_back();
+        }
+        self.means.push_back((now, mean));
+        while self
+            .means
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > BASELINE_AGE)
+        {
+            self.means.pop_front();
+        }
+    }
+
+    fn lowest(&self) -> Option<f64> {
+        self.means.front().map(|(_, mean)| *mean)
+    }
+}
+
+/// What the learner is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The limit follows the latency.
+    Following { full_since: Option<Timestamp> },
+    /// A lower limit is set and requests admitted before still run.
+    Settling,
+    /// The latency at the lower limit is measured.
+    Probing,
+}
+
+/// Learns how many requests a back end runs at the same time without slowing down.
+///
+/// Source of the gradient: Netflix, "Performance Under Load", 2018.
+#[derive(Clone, Debug)]
+pub struct LimitLearner {
+    /// Slots of the back end by its description. Invariant: at least 1.
+    slots: u32,
+    /// Invariant: 1 to `slots` x 2.
+    limit: f64,
+    phase: Phase,
+    step: Vec<LatencySample>,
+    step_start: Timestamp,
+    baselines: Vec<Baseline>,
+}
+
+impl LimitLearner {
+    /// Starts at `slots` for back ends whose requests are of `ranks` ranks.
+    pub fn new(slots: u32, ranks: usize, now: Timestamp) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            limit: f64::from(slots),
+            phase: Phase::Following { full_since: None },
+            step: vec![LatencySample::default(); ranks],
+            step_start: now,
+            baselines: vec![Baseline::default(); ranks],
+        }
+    }
+
+    /// Requests that may run at the same time now.
+    pub fn limit(&self) -> u32 {
+        let part = match self.phase {
+            Phase::Following { .. } => 1.0,
+            Phase::Settling | Phase::Probing => PROBE_PART,
+        };
+        ((self.limit * part) as u32).max(1)
+    }
+
+    /// Takes in what finished since the last call, one sample a rank, and the requests that run.
+    pub fn observe(&mut self, samples: &[LatencySample], in_flight: u32, now: Timestamp) {
+        let sums = self.step.iter_mut().zip(samples);
+        sums.for_each(|(sum, sample)| sum.add(sample));
+        let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
+        let is_full = f64::from(in_flight) >= f64::from(self.limit()) * FULL_USE;
+        let is_enough = finished as f64 >= self.limit * SAMPLES_PER_SLOT;
+        if !is_enough && (finished == 0 || now.since(self.step_start) < MAX_STEP) {
+            return;
+        }
+        self.end_step(is_full, now);
+        self.step.fill(LatencySample::default());
+        self.step_start = now;
+    }
+
+    fn end_step(&mut self, is_full: bool, now: Timestamp) {
+        if self.phase == Phase::Settling {
+            self.phase = Phase::Probing;
+            return;
+        }
+        let is_failing = self.is_failing();
+        if !is_failing {
+            self.record_baselines(now);
+        }
+        if self.phase == Phase::Probing {
+            self.phase = Phase::Following { full_since: None };
+            return;
+        }
+        self.limit = match is_failing {
+            true => self.limit * ERROR_CUT,
+            false => self.follow(is_full),
+        };
+        let most = f64::from(self.slots) * 2.0;
+        self.limit = self.limit.clamp(1.0, most);
+        self.plan_probe(is_full, now);
+    }
+
+    /// The limit after a step without many errors.
+    fn follow(&self, is_full: bool) -> f64 {
+        let gradient = (TOLERANCE / self.slowdown()).clamp(LEAST_GRADIENT, 1.0);
+        if gradient < 1.0 {
+            return self.limit * gradient;
+        }
+        match is_full {
+            true => self.limit + (self.limit.sqrt() / 2.0).max(1.0),
+            false => self.limit,
+        }
+    }
+
+    /// The back end may be slow because of the limit itself. The lowest latency is then only seen
+    /// at a lower limit, which is probed if the load never falls by itself.
+    fn plan_probe(&mut self, is_full: bool, now: Timestamp) {
+        let Phase::Following { full_since } = &mut self.phase else {
+            return;
+        };
+        if !is_full {
+            *full_since = None;
+            return;
+        }
+        let since = *full_since.get_or_insert(now);
+        if now.since(since) >= PROBE_INTERVAL && self.limit >= 2.0 {
+            self.phase = Phase::Settling;
+        }
+    }
+
+    fn is_failing(&self) -> bool {
+        let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
+        let failed: u64 = self.step.iter().map(|sum| sum.failed).sum();
+        failed as f64 > finished as f64 * ERROR_LEVEL
+    }
+
+    fn record_baselines(&mut self, now: Timestamp) {
+        for (baseline, sum) in self.baselines.iter_mut().zip(&self.step) {
+            if let Some(mean) = sum.mean_us() {
+                baseline.record(mean, now);
+            }
+        }
+    }
+
+    /// Latency over the lowest recent latency of the same ranks.
+    fn slowdown(&self) -> f64 {
+        let expected: f64 = self
+            .step
+            .iter()
+            .zip(&self.baselines)
+            .map(|(sum, baseline)| sum.finished as f64 * baseline.lowest().unwrap_or(0.0))
+            .sum();
+        let observed: u64 = self.step.iter().map(|sum| sum.latency_sum_us).sum();
+        match expected > 0.0 {
+            true => observed as f64 / expected,
+            false => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks/queue.rs
@@ -0,0 +1,237 @@
+//! The admission queue of a backend server.
+
+use std::time::Duration;
+
+use lavenderhatch_core::{ErrorKind, Timestamp};
+
+use super::policy::{RankPolicy, RankTable};
+use super::rank_queue::{Entry, RankQueue};
+use super::service_time::ServiceTimes;
+use super::share_window::{ShareWindow, WINDOW_MS};
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Request<T> {
+    /// What waits, such as the channel of a thread.
+    pub item: T,
+    /// Position of its rank in the [`RankTable`].
+    pub rank: usize,
+    /// When the request came to this backend server.
+    pub arrived: Timestamp,
+    /// When the answer is of no use any more.
+    pub deadline: Timestamp,
+}
+
+/// A request that gets a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Granted<T> {
+    /// What waited.
+    pub item: T,
+    /// Position of its rank.
+    pub rank: usize,
+}
+
+/// A request that gets no slot. It did not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused<T> {
+    /// What waited.
+    pub item: T,
+    /// Position of its rank.
+    pub rank: usize,
+    /// `Overloaded` or `DeadlineUnmeetable`.
+    pub kind: ErrorKind,
+}
+
+/// Requests that wait for a slot, by rank.
+///
+/// Ranks below their guaranteed share come first, the most urgent of them before the others. The
+/// remaining slots go to the greatest worth per slack. Below a rank, see `rank_queue.rs`.
+///
+/// The order of late requests follows adaptive LIFO and controlled delay: Maurer, "Fail at Scale",
+/// ACM Queue 13(8), 2015.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue<T> {
+    table: RankTable,
+    queues: Vec<RankQueue<T>>,
+    window: ShareWindow,
+    service: ServiceTimes,
+    limit: u32,
+    max_queue: usize,
+    refused: Vec<Refused<T>>,
+}
+
+impl<T> AdmissionQueue<T> {
+    /// An empty queue for `limit` slots, with at most `max_queue` requests of each rank.
+    pub fn new(table: RankTable, limit: u32, max_queue: usize) -> Self {
+        let ranks = table.ranks().len();
+        Self {
+            table,
+            queues: (0..ranks).map(|_| RankQueue::new()).collect(),
+            window: ShareWindow::new(ranks),
+            service: ServiceTimes::new(ranks),
+            limit,
+            max_queue,
+            refused: Vec::new(),
+        }
+    }
+
+    /// The ranks.
+    pub fn table(&self) -> &RankTable {
+        &self.table
+    }
+
+    /// Requests that wait, by rank.
+    pub fn lengths(&self) -> impl Iterator<Item = usize> {
+        self.queues.iter().map(RankQueue::len)
+    }
+
+    /// Changes the number of slots of which ranks have their shares.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit;
+    }
+
+    /// Counts requests that entered a free slot while nobody waited.
+    pub fn admit_fast(&mut self, rank: usize, count: u32, now: Timestamp) {
+        self.window.advance(now);
+        self.window
+            .charge(rank, count, self.service.of(rank) as u64);
+    }
+
+    /// Takes in the sum of `count` service times of a rank; none is a sample as well.
+    pub fn record(&mut self, rank: usize, count: u64, sum_us: u64) {
+        self.service.record(rank, count, sum_us);
+    }
+
+    /// Queues a request, or refuses it at once if it cannot be served in time.
+    pub fn offer(&mut self, req: Request<T>, now: Timestamp) {
+        self.window.advance(now);
+        if let Some(kind) = self.fault(&req, now) {
+            return self.refused.push(Refused {
+                item: req.item,
+                rank: req.rank,
+                kind,
+            });
+        }
+        self.queues[req.rank].push(Entry {
+            item: req.item,
+            arrived: req.arrived,
+            deadline: req.deadline,
+        });
+    }
+
+    /// Takes the request that gets the next free slot.
+    pub fn next(&mut self, now: Timestamp) -> Option<Granted<T>> {
+        self.window.advance(now);
+        loop {
+            let rank = self.first_below_share().or_else(|| self.worthiest(now))?;
+            let ready = self.ready(rank, now);
+            let entry = self.queues[rank].pop(&self.table.ranks()[rank], ready)?;
+            if entry.deadline < ready {
+                self.refuse(rank, ErrorKind::DeadlineUnmeetable, [entry.item]);
+                continue;
+            }
+            let slot_us = self.service.of(rank).max(1.0) as u64;
+            self.window.charge(rank, 1, slot_us);
+            return Some(Granted {
+                item: entry.item,
+                rank,
+            });
+        }
+    }
+
+    /// Refuses the waiting requests that have become hopeless. To be called every few milliseconds.
+    pub fn expire(&mut self, now: Timestamp) {
+        for rank in 0..self.queues.len() {
+            let ready = self.ready(rank, now);
+            let hopeless = self.queues[rank].remove_hopeless(ready);
+            self.refuse(rank, ErrorKind::DeadlineUnmeetable, hopeless);
+            let policy = &self.table.ranks()[rank];
+            let standing = self.queues[rank].remove_standing(policy, ready, now);
+            self.refuse(rank, ErrorKind::Overloaded, standing);
+        }
+    }
+
+    /// Takes the requests refused since the last call.
+    pub fn take_refused(&mut self) -> Vec<Refused<T>> {
+        std::mem::take(&mut self.refused)
+    }
+
+    /// Removes all requests, for a queue with other ranks.
+    pub fn drain(&mut self) -> Vec<Request<T>> {
+        let mut drained = Vec::new();
+        for (rank, queue) in self.queues.iter_mut().enumerate() {
+            drained.extend(queue.drain().map(|entry| Request {
+                item: entry.item,
+                rank,
+                arrived: entry.arrived,
+                deadline: entry.deadline,
+            }));
+        }
+        drained
+    }
+
+    fn policy(&self, rank: usize) -> &RankPolicy {
+        &self.table.ranks()[rank]
+    }
+
+    /// When a request that gets a slot now is answered.
+    fn ready(&self, rank: usize, now: Timestamp) -> Timestamp {
+        now + Duration::from_micros(self.service.of(rank) as u64)
+    }
+
+    /// Why a request cannot be queued.
+    fn fault(&self, req: &Request<T>, now: Timestamp) -> Option<ErrorKind> {
+        let queue = &self.queues[req.rank];
+        let wait = self.expected_wait(req.rank);
+        let target = Duration::from_millis(self.policy(req.rank).target_ms);
+        if self.ready(req.rank, now) + wait > req.deadline {
+            return Some(ErrorKind::DeadlineUnmeetable);
+        }
+        let is_overload = queue.is_standing() && wait > target / 2;
+        match queue.len() >= self.max_queue || is_overload {
+            true => Some(ErrorKind::Overloaded),
+            false => None,
+        }
+    }
+
+    /// Time for the queue of the rank to be served, at the greater of its guaranteed rate and the
+    /// rate at which it has been served in the last second.
+    fn expected_wait(&self, rank: usize) -> Duration {
+        let ahead = self.queues[rank].len() as f64;
+        let service_us = self.service.of(rank).max(1.0);
+        let share = self.policy(rank).share;
+        let guaranteed = share * f64::from(self.limit) * 1000.0 / service_us;
+        let observed = f64::from(self.window.grants(rank)) / WINDOW_MS as f64;
+        // A rank without a share that has not been served lately still gets what others leave.
+        let least = 1.0 / WINDOW_MS as f64;
+        let rate = guaranteed.max(observed).max(least);
+        Duration::from_micros((ahead / rate * 1000.0) as u64)
+    }
+
+    /// The most urgent rank that waits and has not had its share.
+    fn first_below_share(&self) -> Option<usize> {
+        let is_first = |rank: &usize| {
+            let share = self.policy(*rank).share;
+            self.queues[*rank].len() > 0 && self.window.is_below_share(*rank, share, self.limit)
+        };
+        (0..self.queues.len()).find(is_first)
+    }
+
+    /// The rank whose next request has the greatest worth per slack.
+    fn worthiest(&self, now: Timestamp) -> Option<usize> {
+        let score = |rank: usize| {
+            let ready = self.ready(rank, now);
+            let score = self.queues[rank].score(self.policy(rank), ready)?;
+            Some((rank, score))
+        };
+        let scored = (0..self.queues.len()).filter_map(score);
+        // The earlier, more urgent rank wins among equals.
+        let best = scored.reduce(|best, next| if next.1 > best.1 { next } else { best });
+        best.map(|(rank, _)| rank)
+    }
+
+    fn refuse(&mut self, rank: usize, kind: ErrorKind, items: impl IntoIterator<Item = T>) {
+        let refused = items.into_iter().map(|item| Refused { item, rank, kind });
+        self.refused.extend(refused);
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks/rank_queue.rs
@@ -0,0 +1,152 @@
+//! Requests of one rank that wait.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+use super::policy::RankPolicy;
+
+/// Time after which late requests are overload and no longer a burst.
+const STANDING: Duration = Duration::from_millis(500);
+/// Part of the worth that an answer after the target still has.
+const LATE_WORTH: f64 = 0.1;
+/// Least slack that is distinguished, in milliseconds.
+const MIN_SLACK_MS: f64 = 1.0;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Entry<T> {
+    pub(super) item: T,
+    pub(super) arrived: Timestamp,
+    pub(super) deadline: Timestamp,
+}
+
+/// The queue of one rank, in the order of arrival.
+#[derive(Clone, Debug)]
+pub(super) struct RankQueue<T> {
+    entries: VecDeque<Entry<T>>,
+    /// Since when the oldest request has been too late for its target.
+    late_since: Option<Timestamp>,
+    /// Whether more arrives than can be served within the target. Ends when the queue is empty.
+    is_standing: bool,
+}
+
+impl<T> RankQueue<T> {
+    pub(super) fn new() -> Self {
+        Self {
+            entries: VecDeque::new(),
+            late_since: None,
+            is_standing: false,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn is_standing(&self) -> bool {
+        self.is_standing
+    }
+
+    pub(super) fn push(&mut self, entry: Entry<T>) {
+        self.entries.push_back(entry);
+    }
+
+    /// Takes the request that [`Self::score`] rates.
+    ///
+    /// The oldest request comes first while it can meet its target. Once it is late, the newest is
+    /// served, because serving the oldest would make each one behind it late as well.
+    pub(super) fn pop(&mut self, policy: &RankPolicy, ready: Timestamp) -> Option<Entry<T>> {
+        let entry = match self.is_newest_next(policy, ready) {
+            true => self.entries.pop_back(),
+            false => self.entries.pop_front(),
+        };
+        self.end_standing_if_empty();
+        entry
+    }
+
+    /// Worth per slack of the request that is next. `ready` is when it would be answered.
+    pub(super) fn score(&self, policy: &RankPolicy, ready: Timestamp) -> Option<f64> {
+        let next = match self.is_newest_next(policy, ready) {
+            true => self.entries.back()?,
+            false => self.entries.front()?,
+        };
+        let worth = f64::from(policy.worth);
+        let slack = |due: Timestamp| (due.since(ready).as_millis() as f64).max(MIN_SLACK_MS);
+        if is_late(next, policy, ready) {
+            return Some(worth * LATE_WORTH / slack(next.deadline));
+        }
+        Some(worth / slack(due(next, policy)))
+    }
+
+    /// Removes requests that cannot be answered before their deadline.
+    pub(super) fn remove_hopeless(&mut self, ready: Timestamp) -> Vec<T> {
+        let removed = self.remove_if(|entry| entry.deadline < ready);
+        self.end_standing_if_empty();
+        removed
+    }
+
+    /// Removes late requests once the queue has held some for too long to be a burst.
+    pub(super) fn remove_standing(
+        &mut self,
+        policy: &RankPolicy,
+        ready: Timestamp,
+        now: Timestamp,
+    ) -> Vec<T> {
+        let is_oldest_late = self
+            .entries
+            .front()
+            .is_some_and(|entry| is_late(entry, policy, ready));
+        if !is_oldest_late {
+            self.late_since = None;
+            return Vec::new();
+        }
+        let since = *self.late_since.get_or_insert(now);
+        self.is_standing |= now.since(since) >= STANDING;
+        let removed = match self.is_standing {
+            true => self.remove_if(|entry| is_late(entry, policy, ready)),
+            false => Vec::new(),
+        };
+        self.end_standing_if_empty();
+        removed
+    }
+
+    /// Removes all requests, for a queue with other ranks.
+    pub(super) fn drain(&mut self) -> impl Iterator<Item = Entry<T>> {
+        self.entries.drain(..)
+    }
+
+    fn is_newest_next(&self, policy: &RankPolicy, ready: Timestamp) -> bool {
+        let late = |entry: Option<&Entry<T>>| entry.is_some_and(|e| is_late(e, policy, ready));
+        late(self.entries.front()) && !late(self.entries.back())
+    }
+
+    fn remove_if(&mut self, is_removed: impl Fn(&Entry<T>) -> bool) -> Vec<T> {
+        if !self.entries.iter().any(&is_removed) {
+            return Vec::new();
+        }
+        let (removed, kept) = self.entries.drain(..).partition(is_removed);
+        self.entries = kept;
+        VecDeque::into_iter(removed)
+            .map(|entry: Entry<T>| entry.item)
+            .collect()
+    }
+
+    fn end_standing_if_empty(&mut self) {
+        if self.entries.is_empty() {
+            self.late_since = None;
+            self.is_standing = false;
+        }
+    }
+}
+
+/// When a request should be answered.
+fn due<T>(entry: &Entry<T>, policy: &RankPolicy) -> Timestamp {
+    let target = entry.arrived + Duration::from_millis(policy.target_ms);
+    target.min(entry.deadline)
+}
+
+fn is_late<T>(entry: &Entry<T>, policy: &RankPolicy, ready: Timestamp) -> bool {
+    due(entry, policy) < ready
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/ranks/share_window.rs
@@ -0,0 +1,73 @@
+//! Use of the slots by rank over a sliding second.
+
+use lavenderhatch_core::Timestamp;
+
+/// Spans in which use is counted.
+const SPANS: usize = 20;
+/// Length of one span, in milliseconds.
+const SPAN_MS: u64 = 50;
+/// Length of the window, in milliseconds.
+pub(super) const WINDOW_MS: u64 = SPANS as u64 * SPAN_MS;
+/// Part of its share that a rank may use up in one span. A rank that has been absent would
+/// otherwise use up its whole second at once and keep less urgent ranks waiting for as long.
+const SPAN_PACE: f64 = 1.25;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    slot_us: u64,
+    grants: u32,
+}
+
+/// Slot time and grants of each rank.
+#[derive(Clone, Debug)]
+pub(super) struct ShareWindow {
+    /// Use by rank and span.
+    spans: Vec<[Use; SPANS]>,
+    /// Number of the present span since the epoch.
+    present: u64,
+}
+
+impl ShareWindow {
+    pub(super) fn new(ranks: usize) -> Self {
+        Self {
+            spans: vec![[Use::default(); SPANS]; ranks],
+            present: 0,
+        }
+    }
+
+    /// Forgets what has left the window.
+    pub(super) fn advance(&mut self, now: Timestamp) {
+        let number = now.as_millis() / SPAN_MS;
+        let passed = number.saturating_sub(self.present).min(SPANS as u64);
+        for step in 0..passed {
+            let at = ((number - step) % SPANS as u64) as usize;
+            self.spans
+                .iter_mut()
+                .for_each(|spans| spans[at] = Use::default());
+        }
+        self.present = self.present.max(number);
+    }
+
+    /// Charges `grants` requests that hold a slot for `slot_us` microseconds each.
+    pub(super) fn charge(&mut self, rank: usize, grants: u32, slot_us: u64) {
+        let at = (self.present % SPANS as u64) as usize;
+        let span = &mut self.spans[rank][at];
+        span.grants += grants;
+        span.slot_us += u64::from(grants) * slot_us;
+    }
+
+    /// Whether the rank has used less than `share` of `limit` slots.
+    pub(super) fn is_below_share(&self, rank: usize, share: f64, limit: u32) -> bool {
+        let slots = share * f64::from(limit) * 1000.0;
+        let at = (self.present % SPANS as u64) as usize;
+        let in_span = self.spans[rank][at].slot_us as f64;
+        let in_window: u64 = self.spans[rank].iter().map(|span| span.slot_us).sum();
+        in_span < slots * SPAN_MS as f64 * SPAN_PACE
+            && (in_window as f64) < slots * WINDOW_MS as f64
+    }
+
+    /// Requests granted within the window.
+    pub(super) fn grants(&self, rank: usize) -> u32 {
+        self.spans[rank].iter().map(|span| span.grants).sum()
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/retry.rs
@@ -0,0 +1,7 @@
+//! Which failed calls are tried again.
+
+mod budget;
+mod failure;
+
+pub use budget::RetryTokens;
+pub use failure::{Failure, RetryCost, retry_cost};
--- a/crates/lavenderhatch-decide/src/routing/choose.rs
+++ b/crates/lavenderhatch-decide/src/routing/choose.rs
@@ -1,37 +1,78 @@
 //! Choice between the backend servers of a service.
 
-use lavenderhatch_core::endpoint::Endpoint;
+use lavenderhatch_core::Zone;
+use lavenderhatch_core::endpoint::{Endpoint, FULL_WEIGHT};
 
-/// Chooses a backend server by two random candidates and fewer calls in flight for their weight.
+/// Part of the slots of the own zone that is in use when calls spill over to other zones.
+const SPILL_LEVEL: f64 = 0.8;
+
+/// Chooses a backend server by two random candidates and less outstanding work for their weight.
 ///
-/// `random` is a uniformly distributed number. `excluded` holds positions that must not be chosen
-/// again. A last resort is chosen only if nothing else is left. Returns the position of the chosen
-/// backend server.
+/// Candidates are those of `zone` until its mean outstanding work exceeds 80% of its slots, and
+/// those of all zones from then on. Last-resort backend servers are candidates only if nothing else
+/// is left. `random` is a uniformly distributed number. `excluded` holds positions that must not be
+/// chosen again. Returns the position of the chosen backend server.
 ///
 /// Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
-pub fn choose(endpoints: &[Endpoint], excluded: &[usize], random: u64) -> Option<usize> {
-    let is_allowed = |at: &usize| !excluded.contains(at);
-    let is_regular = |at: &usize| is_allowed(at) && !endpoints[*at].is_last_resort;
-    let has_regular = (0..endpoints.len()).any(|at| is_regular(&at));
-    let is_open = |at: &usize| match has_regular {
-        true => is_regular(at),
-        false => is_allowed(at),
-    };
-    let count = (0..endpoints.len()).filter(is_open).count();
+pub fn choose(
+    endpoints: &[Endpoint],
+    excluded: &[usize],
+    zone: &Zone,
+    random: u64,
+) -> Option<usize> {
+    let is_open = |at: usize| !excluded.contains(&at);
+    let is_regular = |at: usize| is_open(at) && !endpoints[at].is_last_resort;
+    let is_near = |at: usize| is_regular(at) && endpoints[at].zone == *zone;
+    if has_room(endpoints, is_near) {
+        return choose_of(endpoints, is_near, random);
+    }
+    choose_of(endpoints, is_regular, random).or_else(|| choose_of(endpoints, is_open, random))
+}
+
+/// Whether the candidates have less outstanding work than the level at which calls spill over.
+fn has_room(endpoints: &[Endpoint], is_candidate: impl Fn(usize) -> bool) -> bool {
+    let candidates = || (0..endpoints.len()).filter(|at| is_candidate(*at));
+    let work: u32 = candidates().map(|at| outstanding(&endpoints[at])).sum();
+    let capacity: f64 = candidates().map(|at| capacity(&endpoints[at])).sum();
+    f64::from(work) < capacity * SPILL_LEVEL
+}
+
+fn choose_of(
+    endpoints: &[Endpoint],
+    is_candidate: impl Fn(usize) -> bool,
+    random: u64,
+) -> Option<usize> {
+    let candidates = || (0..endpoints.len()).filter(|at| is_candidate(*at));
+    let count = candidates().count();
     if count == 0 {
         return None;
     }
-    let nth = |n: usize| (0..endpoints.len()).filter(is_open).nth(n);
-    let first = nth(random as u32 as usize % count)?;
-    let second = nth((random >> 32) as usize % count)?;
-    if cost(&endpoints[second]) < cost(&endpoints[first]) {
-        return Some(second);
+    let first = random as u32 as usize % count;
+    // The second candidate differs from the first where there are two.
+    let step = 1 + (random >> 32) as usize % (count - 1).max(1);
+    let first = candidates().nth(first)?;
+    let second = candidates()
+        .cycle()
+        .skip_while(|at| *at != first)
+        .nth(step)?;
+    match cost(&endpoints[second]) < cost(&endpoints[first]) {
+        true => Some(second),
+        false => Some(first),
     }
-    Some(first)
 }
 
-/// Calls in flight, one more included, for each unit of capacity.
+/// Outstanding work, one more call included, for each unit of capacity.
 fn cost(endpoint: &Endpoint) -> f64 {
-    let capacity = f64::from(endpoint.slots) * f64::from(endpoint.weight);
-    (f64::from(endpoint.counters.outstanding()) + 1.0) / capacity
+    (f64::from(outstanding(endpoint)) + 1.0) / capacity(endpoint)
+}
+
+/// Calls in flight from this daemon and those that the backend server has reported.
+fn outstanding(endpoint: &Endpoint) -> u32 {
+    let counters = &endpoint.counters;
+    counters.outstanding().saturating_add(counters.reported())
+}
+
+/// Slots by weight.
+fn capacity(endpoint: &Endpoint) -> f64 {
+    f64::from(endpoint.slots) * f64::from(endpoint.weight) / f64::from(FULL_WEIGHT)
 }
