--- a/crates/lavenderhatch-core/src/error.rs
+++ b/crates/lavenderhatch-core/src/error.rs
@@ -9,6 +9,10 @@
 pub struct Error {
     kind: ErrorKind,
     message: String,
+    /// Whether a hop has already decided on the retries of the call.
+    is_retry_exhausted: bool,
+    /// Delay that a refusing daemon advised, in milliseconds.
+    retry_after_ms: Option<u64>,
 }
 
 impl Error {
@@ -17,9 +21,30 @@
         Self {
             kind,
             message: message.into(),
+            is_retry_exhausted: false,
+            retry_after_ms: None,
         }
     }
 
+    /// The same error with what a daemon said about retries.
+    pub fn with_retry(self, is_exhausted: bool, after_ms: Option<u64>) -> Self {
+        Self {
+            is_retry_exhausted: is_exhausted,
+            retry_after_ms: after_ms,
+            ..self
+        }
+    }
+
+    /// Whether a hop has already decided on the retries of the call.
+    pub fn is_retry_exhausted(&self) -> bool {
+        self.is_retry_exhausted
+    }
+
+    /// Delay that a refusing daemon advised, in milliseconds.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        self.retry_after_ms
+    }
+
     /// The kind, which decides the answer.
     pub fn kind(&self) -> ErrorKind {
         self.kind
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/load.rs
@@ -0,0 +1,90 @@
+//! Decides which waiting request gets the next slot. Writes the `load` section.
+
+mod meter;
+mod state;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, select, tick};
+use eyre::Result;
+use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
+use lavenderhatch_core::load::LoadView;
+use lavenderhatch_core::{ConfigSnapshot, ServiceName};
+
+use super::handle::ControllerHandle;
+use crate::request::gate::{Gate, GateInbox};
+use state::LoadState;
+
+/// Time between two looks at the counters and at hopeless requests.
+const TICK: Duration = Duration::from_millis(20);
+/// Requests that are queued before a slot is granted again.
+const BATCH: usize = 64;
+
+/// What the controller is connected to.
+#[derive(Debug)]
+pub struct LoadController {
+    /// Service of the back end beside this daemon.
+    pub service: ServiceName,
+    /// The configuration in force.
+    pub config: SectionReader<Option<ConfigSnapshot>>,
+    /// The section that this controller owns.
+    pub load: SectionWriter<LoadView>,
+    /// The gate of this backend server.
+    pub gate: Arc<Gate>,
+    /// What the gate hands over.
+    pub inbox: GateInbox,
+}
+
+impl LoadController {
+    /// Starts the controller.
+    pub fn spawn(self) -> Result<ControllerHandle> {
+        ControllerHandle::spawn("load", move |stop| self.run(&stop))
+    }
+
+    fn run(self, stop: &Receiver<()>) {
+        let Self {
+            service,
+            config,
+            load,
+            gate,
+            inbox,
+        } = self;
+        let woken = config.subscribe();
+        let ticks = tick(TICK);
+        let mut state = LoadState::new(service, gate, inbox.decided);
+        state.configure(config.load().as_ref().as_ref());
+        load.publish(state.view());
+        loop {
+            select! {
+                recv(stop) -> _ => return,
+                recv(woken) -> wake => match wake {
+                    Ok(()) => {
+                        state.configure(config.load().as_ref().as_ref());
+                        load.publish(state.view());
+                    }
+                    Err(_) => return,
+                },
+                recv(inbox.waiting) -> waiting => match waiting {
+                    Ok(waiting) => {
+                        state.offer(waiting);
+                        inbox.waiting.try_iter().take(BATCH).for_each(|next| state.offer(next));
+                    }
+                    Err(_) => return,
+                },
+                recv(inbox.freed) -> _ => {}
+                recv(ticks) -> _ => state.tick(),
+            }
+            state.dispatch();
+            if state.is_view_due() {
+                publish_if_changed(&load, state.view());
+            }
+        }
+    }
+}
+
+fn publish_if_changed(load: &SectionWriter<LoadView>, view: LoadView) {
+    if **load.load() != view {
+        load.publish(view);
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/controller/load/state.rs
@@ -0,0 +1,280 @@
+//! State of the load controller between two decisions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use lavenderhatch_core::load::{LoadView, RankCounters, RankLoad, SharedCounters};
+use lavenderhatch_core::mesh::Limits;
+use lavenderhatch_core::{ConfigSnapshot, Error, ErrorKind, ServiceName, Timestamp};
+use lavenderhatch_decide::ranks::{
+    AdmissionQueue, LatencySample, LimitLearner, RankTable, Refused, Request,
+};
+use tracing::info;
+
+use super::meter::Meter;
+use crate::request::gate::{Decided, Gate, Verdict, Waiter, Waiting};
+
+/// Time between two publications.
+const VIEW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What was read from the counters of a rank last, and what the controller counts itself.
+#[derive(Debug)]
+struct RankState {
+    counters: Arc<RankCounters>,
+    fast_admitted: u64,
+    finished: u64,
+    failed: u64,
+    latency_sum_us: u64,
+    granted: u64,
+    refused: u64,
+}
+
+impl RankState {
+    fn new(counters: Arc<RankCounters>) -> Self {
+        Self {
+            fast_admitted: counters.fast_admitted(),
+            finished: counters.finished(),
+            failed: counters.failed(),
+            latency_sum_us: counters.latency_sum_us(),
+            counters,
+            granted: 0,
+            refused: 0,
+        }
+    }
+
+    fn admitted(&self) -> u64 {
+        self.counters.fast_admitted() + self.granted
+    }
+
+    /// Requests that entered without waiting since the last call.
+    fn take_fast_admitted(&mut self) -> u32 {
+        let before = self.fast_admitted;
+        self.fast_admitted = self.counters.fast_admitted();
+        (self.fast_admitted - before) as u32
+    }
+
+    /// What finished since the last call.
+    fn take_sample(&mut self) -> LatencySample {
+        // `finished` is written last, so the sums hold at least the requests that it counts.
+        let finished = self.counters.finished();
+        let failed = self.counters.failed();
+        let latency_sum_us = self.counters.latency_sum_us();
+        let sample = LatencySample {
+            finished: finished - self.finished,
+            failed: failed - self.failed,
+            latency_sum_us: latency_sum_us - self.latency_sum_us,
+        };
+        self.finished = finished;
+        self.failed = failed;
+        self.latency_sum_us = latency_sum_us;
+        sample
+    }
+}
+
+/// Queue, limit and counters.
+pub(super) struct LoadState {
+    service: ServiceName,
+    gate: Arc<Gate>,
+    decided: Sender<Decided>,
+    queue: AdmissionQueue<Waiting>,
+    learner: LimitLearner,
+    slots: u32,
+    max_queue: usize,
+    /// Invariant: as many as the queue has ranks, in the same order.
+    ranks: Vec<RankState>,
+    meter: Meter,
+    last_view: Timestamp,
+}
+
+impl LoadState {
+    pub(super) fn new(service: ServiceName, gate: Arc<Gate>, decided: Sender<Decided>) -> Self {
+        let slots = u32::from(gate.state().limit);
+        let table = RankTable::new(&BTreeMap::new());
+        let max_queue = Limits::default().max_queue as usize;
+        let unknown = RankState::new(Arc::clone(gate.unknown_rank()));
+        Self {
+            service,
+            decided,
+            queue: AdmissionQueue::new(table, slots, max_queue),
+            learner: LimitLearner::new(slots, 1, gate.now()),
+            gate,
+            slots,
+            max_queue,
+            ranks: vec![unknown],
+            meter: Meter::default(),
+            last_view: Timestamp::default(),
+        }
+    }
+
+    /// Takes over the ranks and the slots of a configuration. Requests that wait keep waiting.
+    pub(super) fn configure(&mut self, config: Option<&ConfigSnapshot>) {
+        let Some(config) = config else { return };
+        let table = RankTable::new(config.mesh.ranks());
+        let service = config.mesh.services().get(&self.service);
+        let slots = service.map_or(self.slots, |service| service.slots);
+        let max_queue = config.mesh.limits().max_queue as usize;
+        if table == *self.queue.table() && slots == self.slots && max_queue == self.max_queue {
+            return;
+        }
+        info!("rank: {} ranks, {slots} slots", table.ranks().len() - 1);
+        let now = self.gate.now();
+        self.slots = slots;
+        self.learner = LimitLearner::new(slots, table.ranks().len(), now);
+        self.gate.set_limit(self.learner.limit());
+        self.max_queue = max_queue;
+        self.ranks = self.rank_states(&table);
+        let queue = AdmissionQueue::new(table, self.learner.limit(), max_queue);
+        let mut before = std::mem::replace(&mut self.queue, queue);
+        for request in before.drain() {
+            self.offer(request.item);
+        }
+        self.answer_refused(before.take_refused());
+    }
+
+    /// Queues a request that waits.
+    pub(super) fn offer(&mut self, waiting: Waiting) {
+        let rank = self
+            .queue
+            .table()
+            .position(waiting.counters.name().as_str());
+        let request = Request {
+            rank,
+            arrived: waiting.arrived,
+            deadline: waiting.deadline,
+            item: waiting,
+        };
+        self.queue.offer(request, self.gate.now());
+    }
+
+    /// Grants free slots and answers refused requests.
+    pub(super) fn dispatch(&mut self) {
+        let now = self.gate.now();
+        self.charge_fast_admissions(now);
+        while self.gate.is_open() {
+            let Some(granted) = self.queue.next(now) else {
+                break;
+            };
+            let Some(permit) = self.gate.grant(&granted.item) else {
+                break;
+            };
+            self.ranks[granted.rank].granted += 1;
+            self.answer(granted.item, Ok(permit));
+        }
+        let refused = self.queue.take_refused();
+        self.answer_refused(refused);
+    }
+
+    /// Takes in what finished and refuses what has become hopeless.
+    pub(super) fn tick(&mut self) {
+        let now = self.gate.now();
+        let samples: Vec<LatencySample> =
+            self.ranks.iter_mut().map(RankState::take_sample).collect();
+        for (rank, sample) in samples.iter().enumerate() {
+            self.queue
+                .record(rank, sample.finished, sample.latency_sum_us);
+        }
+        let in_flight = u32::from(self.gate.state().in_flight);
+        self.learner.observe(&samples, in_flight, now);
+        self.queue.set_limit(self.learner.limit());
+        self.gate.set_limit(self.learner.limit());
+        self.queue.expire(now);
+    }
+
+    /// Whether the section should be published.
+    pub(super) fn is_view_due(&self) -> bool {
+        self.gate.now().since(self.last_view) >= VIEW_INTERVAL
+    }
+
+    /// The section.
+    pub(super) fn view(&mut self) -> LoadView {
+        let now = self.gate.now();
+        self.last_view = now;
+        let admitted = self.ranks.iter().map(RankState::admitted).sum();
+        let refused = self.ranks.iter().map(|rank| rank.refused).sum();
+        self.meter.record(admitted, refused, now);
+        let load = |(rank, queued): (&RankState, usize)| {
+            let load = RankLoad {
+                queued: queued as u32,
+                admitted: rank.admitted(),
+                refused: rank.refused,
+            };
+            (rank.counters.name().clone(), load)
+        };
+        let state = self.gate.state();
+        LoadView {
+            limit: u32::from(state.limit),
+            in_flight: u32::from(state.in_flight),
+            ranks: self
+                .ranks
+                .iter()
+                .zip(self.queue.lengths())
+                .map(load)
+                .collect(),
+            refused_per_s: self.meter.refused(),
+            admitted_per_s: self.meter.admitted(),
+            counters: self.shared_counters(),
+        }
+    }
+
+    fn shared_counters(&self) -> SharedCounters {
+        let named = self.ranks.iter().map(|rank| {
+            let counters = Arc::clone(&rank.counters);
+            (counters.name().clone(), counters)
+        });
+        SharedCounters(named.collect())
+    }
+
+    /// States of the ranks of a table. Ranks that stay keep their counts.
+    fn rank_states(&mut self, table: &RankTable) -> Vec<RankState> {
+        let mut before: Vec<RankState> = self.ranks.drain(..).collect();
+        let unknown = Arc::clone(self.gate.unknown_rank());
+        let mut state = |name: Option<&lavenderhatch_core::RankName>| {
+            let name = name.unwrap_or(unknown.name());
+            let at = before.iter().position(|rank| rank.counters.name() == name);
+            match at {
+                Some(at) => before.swap_remove(at),
+                None => RankState::new(Arc::new(RankCounters::new(name.clone()))),
+            }
+        };
+        let policies = table.ranks().iter();
+        policies.map(|policy| state(policy.name.as_ref())).collect()
+    }
+
+    fn charge_fast_admissions(&mut self, now: Timestamp) {
+        for (at, rank) in self.ranks.iter_mut().enumerate() {
+            let count = rank.take_fast_admitted();
+            if count > 0 {
+                self.queue.admit_fast(at, count, now);
+            }
+        }
+    }
+
+    fn answer_refused(&mut self, refused: Vec<Refused<Waiting>>) {
+        for Refused { item, rank, kind } in refused {
+            self.ranks[rank].refused += 1;
+            self.gate.withdraw();
+            self.answer(item, Err(Error::new(kind, refusal_message(kind))));
+        }
+    }
+
+    /// Ends a wait. A permit that nobody receives is dropped, which frees its slot.
+    fn answer(&self, waiting: Waiting, verdict: Verdict) {
+        match waiting.waiter {
+            Waiter::Thread(tx) => {
+                let _ = tx.send(verdict);
+            }
+            Waiter::Peer(call) => {
+                let _ = self.decided.send(Decided { call, verdict });
+            }
+        }
+    }
+}
+
+fn refusal_message(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::DeadlineUnmeetable => "the deadline cannot be met given the work ahead",
+        _ => "too many requests of this rank wait",
+    }
+}
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -15,17 +15,19 @@
 use crate::admin::AdminPort;
 use crate::controller::{
     AuditController, ControllerHandle, DistributionController, EndpointController, LeaveSender,
-    MembershipController, OrderController, PlatformReader, StopController, ZoneObjects,
+    LoadController, MembershipController, OrderController, PlatformReader, StopController,
+    ZoneObjects,
 };
 use crate::peer::{ControlTraffic, Inboxes, PeerLinks, PeerPort};
+use crate::request::gate::Gate;
 use crate::request::{CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath};
 
 /// Requests of peers that wait for a controller. More are refused.
 const CONTROL_QUEUE: usize = 1024;
-/// Calls of peers that wait for a thread. More are refused.
+/// Calls of peers on their way to the gate. More are refused.
 const CARRY_QUEUE: usize = 4096;
 /// Slots of a backend server whose service is not described yet.
-const DEFAULT_SLOTS: u32 = 12;
+const DEFAULT_SLOTS: u16 = 12;
 
 /// A running daemon. Dropping it ends its controllers; its ports end with the process.
 pub struct Daemon {
@@ -65,6 +67,7 @@
         let (jobs_tx, zone_jobs) = ZoneObjects::<P>::queue();
         let (contacts_tx, contacts) = ZoneObjects::<P>::contacts();
         let (leave, leaves) = StopController::channel();
+        let (gate, gate_inbox, decided) = Gate::open(DEFAULT_SLOTS, board.load.clone());
         let controllers = vec![
             AuditController::spawn(events, writers.audit)?,
             StopController {
@@ -133,11 +136,26 @@
                 contacts: contacts_tx,
             }
             .spawn()?,
+            LoadController {
+                service: settings.service.clone(),
+                config: board.config.clone(),
+                load: writers.load,
+                gate: Arc::clone(&gate),
+                inbox: gate_inbox,
+            }
+            .spawn()?,
         ];
         let backend = HttpBackend::open(settings.backend_addr);
-        let path = RequestPath::new(settings.node.clone(), board.clone(), backend, links, orders);
-        let path = Arc::new(path);
-        CarryWorkers::spawn(settings.carry_threads, &jobs, &path)?;
+        let path = Arc::new(RequestPath::new(
+            settings.node.clone(),
+            settings.zone.clone(),
+            board.clone(),
+            gate,
+            backend,
+            links,
+            orders,
+        ));
+        CarryWorkers::spawn(settings.carry_threads, jobs, decided, Arc::clone(&path))?;
         let callers = CallerPort::bind(
             settings.caller_addr,
             settings.max_connections,
@@ -188,7 +206,7 @@
         service: settings.service.clone(),
         peer_addr: settings.peer_addr,
         admin_addr: settings.admin_addr,
-        slots: DEFAULT_SLOTS,
+        slots: u32::from(DEFAULT_SLOTS),
         state: MemberState::Serving,
     }
 }
--- a/crates/lavenderhatch-daemon/src/request.rs
+++ b/crates/lavenderhatch-daemon/src/request.rs
@@ -7,9 +7,13 @@
 mod backend;
 mod caller_port;
 mod carry;
+pub mod gate;
+mod local_leg;
 mod order;
 mod order_keys;
 mod path;
+mod retry_budget;
+mod route;
 
 pub use backend::{Backend, HttpBackend};
 pub use caller_port::CallerPort;
--- a/crates/lavenderhatch-daemon/src/request/backend.rs
+++ b/crates/lavenderhatch-daemon/src/request/backend.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lavenderhatch_core::call::{CallAnswer, CallView, DEADLINE_HEADER, DEPTH_HEADER, Header};
+use lavenderhatch_core::call::{
+    CallAnswer, CallView, DEADLINE_HEADER, DEPTH_HEADER, Header, RETRY_EXHAUSTED, RETRY_HEADER,
+};
 use lavenderhatch_core::error_kind::Outcome;
 use lavenderhatch_core::{Error, ErrorKind};
 use lavenderhatch_platform::ip_agent;
@@ -33,6 +35,9 @@
     "upgrade",
 ];
 
+/// Start of the names of headers that each daemon sets anew on its answers.
+const OWN_HEADERS: &str = "lavenderhatch-";
+
 /// Whether a header is passed on.
 pub(super) fn is_passed_on(name: &str) -> bool {
     !CONNECTION_HEADERS.contains(&name)
@@ -121,6 +126,7 @@
         let failure = |err: ureq::Error| failure(call, &err);
         let mut res = self.send(call, time_left).map_err(failure)?;
         let headers = passed_on_headers(&res);
+        let is_retry_exhausted = is_retry_exhausted(&res);
         let body = res
             .body_mut()
             .with_config()
@@ -133,16 +139,22 @@
             outcome: Outcome::Ran,
             error: None,
             retry_after_ms: None,
-            is_retry_exhausted: false,
+            is_retry_exhausted,
         })
     }
 }
 
+/// Whether the back end passes on the refusal of a call of its own that has been retried.
+fn is_retry_exhausted(res: &Response<Body>) -> bool {
+    let value = res.headers().get(RETRY_HEADER);
+    value.is_some_and(|value| value == RETRY_EXHAUSTED)
+}
+
 fn passed_on_headers(res: &Response<Body>) -> Vec<Header> {
     let named = res
         .headers()
         .iter()
-        .filter(|(name, _)| is_passed_on(name.as_str()));
+        .filter(|(name, _)| is_passed_on(name.as_str()) && !name.as_str().starts_with(OWN_HEADERS));
     let owned = named.filter_map(|(name, value)| {
         let value = value.to_str().ok()?.to_owned();
         Some(Header {
--- a/crates/lavenderhatch-daemon/src/request/caller_port.rs
+++ b/crates/lavenderhatch-daemon/src/request/caller_port.rs
@@ -8,7 +8,7 @@
 use lavenderhatch_core::blackboard::Blackboard;
 use lavenderhatch_core::call::{
     CALL_ID_HEADER, CallAnswer, DEADLINE_HEADER, DEPTH_HEADER, ERROR_HEADER, Header, KEY_HEADER,
-    OUTCOME_HEADER, RETRY_AFTER_HEADER, RETRY_HEADER, VERSION_HEADER,
+    OUTCOME_HEADER, RETRY_AFTER_HEADER, RETRY_EXHAUSTED, RETRY_HEADER, VERSION_HEADER,
 };
 use lavenderhatch_core::drain::InFlightGuard;
 use lavenderhatch_core::{Error, ErrorKind};
@@ -166,7 +166,7 @@
         res.add(RETRY_AFTER_HEADER, &millis.to_string());
     }
     if answer.is_retry_exhausted {
-        res.add(RETRY_HEADER, "exhausted");
+        res.add(RETRY_HEADER, RETRY_EXHAUSTED);
     }
     if let Some(version) = version {
         res.add(VERSION_HEADER, &version.to_string());
--- a/crates/lavenderhatch-daemon/src/request/carry.rs
+++ b/crates/lavenderhatch-daemon/src/request/carry.rs
@@ -1,84 +1,184 @@
 //! Threads that run calls which peers have handed over.
+//!
+//! A call that waits for a slot waits in the admission queue and holds no thread.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
+use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded, select};
 use eyre::Result;
 use lavenderhatch_core::ErrorKind;
-use lavenderhatch_core::call::CallAnswer;
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use tracing::warn;
 
 use super::backend::Backend;
-use super::order::waits_for_claim;
+use super::gate::{Decided, PeerCall, Verdict};
+use super::order_keys::asks_for_key;
 use super::path::{PeerCaller, RequestPath};
 use crate::peer::CarryJob;
 
-/// Threads for orders that wait for their claims, so that such orders keep no other call waiting.
-const ORDER_THREADS: usize = 64;
-/// Orders that wait for such a thread. More are refused.
+/// Time after which a thread without work ends if another one is idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Orders with a key that wait for a thread. More are refused.
 const ORDER_QUEUE: usize = 1024;
 
 /// Running threads. They end with the process.
+///
+/// Invariant: whoever takes work leaves an idle thread behind, so that a new call reaches the
+/// queue at once. Only calls with a slot hold a thread for long, so the limit of the gate bounds
+/// the number of threads.
 #[derive(Debug)]
-pub struct CarryWorkers;
-
-impl CarryWorkers {
-    /// Starts `threads` threads that take calls from `jobs`.
-    pub fn spawn<B: Backend, L: PeerCaller>(
-        threads: usize,
-        jobs: &Receiver<CarryJob>,
-        path: &Arc<RequestPath<B, L>>,
-    ) -> Result<Self> {
-        let (orders_tx, orders) = bounded(ORDER_QUEUE);
-        for n in 0..threads {
-            let (jobs, orders) = (jobs.clone(), orders_tx.clone());
-            let path = Arc::clone(path);
-            let name = format!("carry-{n}");
+pub struct CarryWorkers<B, L> {
+    jobs: Receiver<CarryJob>,
+    decided: Receiver<Decided>,
+    orders: Sender<CarryJob>,
+    path: Arc<RequestPath<B, L>>,
+    idle: AtomicUsize,
+}
+
+impl<B: Backend, L: PeerCaller> CarryWorkers<B, L> {
+    /// Starts `order_threads` threads for orders with a key, which need the order controller before
+    /// they run, and the first thread for all other calls.
+    pub fn spawn(
+        order_threads: usize,
+        jobs: Receiver<CarryJob>,
+        decided: Receiver<Decided>,
+        path: Arc<RequestPath<B, L>>,
+    ) -> Result<()> {
+        let (orders, order_jobs) = bounded(ORDER_QUEUE);
+        for n in 0..order_threads {
+            let (jobs, path) = (Receiver::clone(&order_jobs), Arc::clone(&path));
             thread::Builder::new()
-                .name(name)
-                .spawn(move || run(&jobs, &orders, &path))?;
+                .name(format!("carry-order-{n}"))
+                .spawn(move || jobs.iter().for_each(|job| run_order(job, &path)))?;
         }
-        for n in 0..ORDER_THREADS {
-            let orders = Receiver::clone(&orders);
-            let path = Arc::clone(path);
-            let name = format!("carry-order-{n}");
-            thread::Builder::new()
-                .name(name)
-                .spawn(move || orders.iter().for_each(|job| answer(job, &path)))?;
+        let workers = Arc::new(Self {
+            jobs,
+            decided,
+            orders,
+            path,
+            idle: AtomicUsize::new(0),
+        });
+        workers.add_thread()?;
+        Ok(())
+    }
+
+    fn add_thread(self: &Arc<Self>) -> std::io::Result<()> {
+        self.idle.fetch_add(1, Ordering::AcqRel);
+        let workers = Arc::clone(self);
+        let spawned = thread::Builder::new()
+            .name("carry".to_owned())
+            .spawn(move || workers.run());
+        if spawned.is_err() {
+            self.idle.fetch_sub(1, Ordering::AcqRel);
         }
-        Ok(Self)
+        spawned.map(|_| ())
     }
-}
 
-fn run<B: Backend, L: PeerCaller>(
-    jobs: &Receiver<CarryJob>,
-    orders: &Sender<CarryJob>,
-    path: &RequestPath<B, L>,
-) {
-    for job in jobs {
-        match waits_for_claim(&job.call) {
-            true => hand_over(job, orders),
-            false => answer(job, path),
+    fn run(self: &Arc<Self>) {
+        loop {
+            let work = select! {
+                recv(self.jobs) -> job => match job {
+                    Ok(job) => Some(Work::Arrived(job)),
+                    Err(_) => return,
+                },
+                recv(self.decided) -> decided => match decided {
+                    Ok(decided) => Some(Work::Decided(decided)),
+                    Err(_) => return,
+                },
+                default(IDLE_TIMEOUT) => None,
+            };
+            let is_last_idle = self.idle.fetch_sub(1, Ordering::AcqRel) == 1;
+            match work {
+                None if !is_last_idle => return,
+                None => {}
+                Some(work) => {
+                    if is_last_idle && let Err(err) = self.add_thread() {
+                        warn!("rank: cannot start a thread for calls of peers: {err}");
+                    }
+                    self.handle(work);
+                }
+            }
+            self.idle.fetch_add(1, Ordering::AcqRel);
         }
     }
-}
 
-fn hand_over(job: CarryJob, orders: &Sender<CarryJob>) {
-    if let Err(refused) = orders.try_send(job) {
-        // Not "not run": an earlier call with the same key may have run.
-        let message = "too many orders wait for their claims; ask again with the same key";
-        let answer = CallAnswer::from_error(ErrorKind::OutcomeUnknown, message);
-        refused.into_inner().reply.send(answer);
+    fn handle(&self, work: Work) {
+        let decided = match work {
+            Work::Arrived(job) => self.admit(job),
+            Work::Decided(decided) => Some(decided),
+        };
+        if let Some(Decided { call, verdict }) = decided {
+            self.finish(*call, verdict);
+        }
     }
-}
 
-fn answer<B: Backend, L: PeerCaller>(job: CarryJob, path: &RequestPath<B, L>) {
-    if !job.reply.is_abandoned() {
-        let guard = path.enter();
-        let answer = match &guard {
-            Ok(_) => path.run_for_peer(&job.call),
-            Err(err) => CallAnswer::from_error(err.kind(), err.message()),
+    fn admit(&self, job: CarryJob) -> Option<Decided> {
+        if is_keyed_order(&job.call) {
+            self.hand_over(job);
+            return None;
+        }
+        let guard = match self.path.enter() {
+            Ok(guard) => guard,
+            Err(err) => {
+                job.reply.send(self.path.refusal(&err, rand::random()));
+                return None;
+            }
         };
+        // Issuing a key takes no slot of the back end.
+        if asks_for_key(&job.call.method, &job.call.target) {
+            job.reply.send(self.path.run_for_peer(&job.call));
+            return None;
+        }
+        self.path.admit_for_peer(Box::new(PeerCall { job, guard }))
+    }
+
+    fn hand_over(&self, job: CarryJob) {
+        if let Err(refused) = self.orders.try_send(job) {
+            // Not "not run": an earlier call with the same key may have run.
+            let message = "too many orders wait for their claims; ask again with the same key";
+            let answer = CallAnswer::from_error(ErrorKind::OutcomeUnknown, message);
+            refused.into_inner().reply.send(answer);
+        }
+    }
+
+    fn finish(&self, call: PeerCall, verdict: Verdict) {
+        let PeerCall { job, guard } = call;
+        // The peer has given up on the call; its slot is freed unused.
+        if job.reply.is_abandoned() {
+            return;
+        }
+        let result = verdict.and_then(|permit| self.path.run_with(&job.call, permit));
+        let answer = result.unwrap_or_else(|err| self.path.refusal(&err, rand::random()));
         job.reply.send(answer);
+        drop(guard);
     }
 }
+
+fn run_order<B: Backend, L: PeerCaller>(job: CarryJob, path: &RequestPath<B, L>) {
+    if job.reply.is_abandoned() {
+        return;
+    }
+    let guard = path.enter();
+    let answer = match &guard {
+        Ok(_) => path.run_for_peer(&job.call),
+        Err(err) => path.refusal(err, rand::random()),
+    };
+    job.reply.send(answer);
+}
+
+/// Whether a call needs the order controller before it runs.
+fn is_keyed_order(call: &StoredCall) -> bool {
+    !call.is_idempotent && call.key.is_some()
+}
+
+/// What a thread takes up.
+enum Work {
+    /// A call that a peer has handed over.
+    Arrived(CarryJob),
+    /// A call whose wait for a slot has ended.
+    Decided(Decided),
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/gate.rs
@@ -0,0 +1,246 @@
+//! Admission of calls to the back end beside this daemon.
+//!
+//! If a slot is free and nobody waits, a call enters by one compare-and-swap. Otherwise it is
+//! handed to the load controller, which grants or refuses it.
+
+mod packed;
+mod permit;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use lavenderhatch_core::blackboard::SectionReader;
+use lavenderhatch_core::drain::InFlightGuard;
+use lavenderhatch_core::load::{LoadView, RankCounters};
+use lavenderhatch_core::{Error, ErrorKind, RankName, Timestamp};
+
+use crate::peer::CarryJob;
+
+pub use packed::{AtomicWord, Entry, GateState, PackedGate};
+pub use permit::Permit;
+
+/// Requests on their way to the load controller. More are refused.
+const INBOX_CAPACITY: usize = 8192;
+/// Name under which requests of ranks that are not described are counted.
+const UNKNOWN_RANK: &str = "unknown";
+
+/// A granted slot, or why there is none. A refused request did not run.
+pub type Verdict = Result<Permit, Error>;
+
+/// A call that a peer has handed over, which counts as in flight until it is answered.
+#[derive(Debug)]
+pub struct PeerCall {
+    /// The call and where its answer goes.
+    pub job: CarryJob,
+    /// Keeps the daemon from ending before the call is answered.
+    pub guard: InFlightGuard,
+}
+
+/// Who waits for a slot.
+#[derive(Debug)]
+pub enum Waiter {
+    /// A thread, at the other end of the channel.
+    Thread(Sender<Verdict>),
+    /// A call that a peer has handed over. No thread waits for it.
+    Peer(Box<PeerCall>),
+}
+
+/// A request that waits for a slot. It counts as waiting in the gate.
+#[derive(Debug)]
+pub struct Waiting {
+    /// Counters of its rank.
+    pub counters: Arc<RankCounters>,
+    /// When it came to the gate.
+    pub arrived: Timestamp,
+    /// When its answer is of no use any more.
+    pub deadline: Timestamp,
+    /// Who waits.
+    pub waiter: Waiter,
+}
+
+/// A call of a peer whose wait has ended.
+#[derive(Debug)]
+pub struct Decided {
+    /// The call.
+    pub call: Box<PeerCall>,
+    /// Its slot, or why there is none.
+    pub verdict: Verdict,
+}
+
+/// What the gate hands to the load controller.
+#[derive(Debug)]
+pub struct GateInbox {
+    /// Requests that wait.
+    pub waiting: Receiver<Waiting>,
+    /// Holds a message when a slot was freed while a request waited.
+    pub freed: Receiver<()>,
+    /// Calls of peers whose wait has ended, to the threads that run them.
+    pub decided: Sender<Decided>,
+}
+
+/// The gate of this backend server.
+#[derive(Debug)]
+pub struct Gate {
+    slots: PackedGate<AtomicU64>,
+    load: SectionReader<LoadView>,
+    waiting: Sender<Waiting>,
+    freed: Sender<()>,
+    unknown: Arc<RankCounters>,
+    /// Origin of the times in the queue, which a change of the system clock must not move.
+    start: Instant,
+}
+
+impl Gate {
+    /// Opens a gate for `limit` requests. The receiver gets calls of peers whose wait has ended.
+    pub fn open(
+        limit: u16,
+        load: SectionReader<LoadView>,
+    ) -> (Arc<Self>, GateInbox, Receiver<Decided>) {
+        let (waiting_tx, waiting) = bounded(INBOX_CAPACITY);
+        let (freed_tx, freed) = bounded(1);
+        let (decided, decided_rx) = unbounded();
+        let word = AtomicU64::new(PackedGate::<AtomicU64>::initial(limit));
+        let gate = Self {
+            slots: PackedGate::new(word),
+            load,
+            waiting: waiting_tx,
+            freed: freed_tx,
+            unknown: Arc::new(RankCounters::new(unknown_rank())),
+            start: Instant::now(),
+        };
+        let inbox = GateInbox {
+            waiting,
+            freed,
+            decided,
+        };
+        (Arc::new(gate), inbox, decided_rx)
+    }
+
+    /// Present time on the gate's own clock.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.start.elapsed().as_millis() as u64)
+    }
+
+    /// The deadline of a request that has `time_left`.
+    pub fn deadline(&self, time_left: Duration) -> Timestamp {
+        self.now() + time_left
+    }
+
+    /// Waits on this thread for a slot.
+    pub fn enter(self: &Arc<Self>, rank: &str, deadline: Timestamp) -> Verdict {
+        let counters = self.counters(rank);
+        if self.slots.enter() == Entry::Entered {
+            return Ok(self.enter_fast(counters, deadline));
+        }
+        let (tx, rx) = bounded(1);
+        let waiter = Waiter::Thread(tx);
+        self.wait(counters, deadline, waiter)
+            .map_err(|(_, err)| err)?;
+        match rx.recv_timeout(deadline.since(self.now())) {
+            Ok(verdict) => verdict,
+            Err(_) => Err(Error::new(
+                ErrorKind::DeadlineUnmeetable,
+                "no slot was free before the deadline",
+            )),
+        }
+    }
+
+    /// Gives a call of a peer its slot, or lets it wait without a thread.
+    pub fn enter_for_peer(
+        self: &Arc<Self>,
+        call: Box<PeerCall>,
+        deadline: Timestamp,
+    ) -> Option<Decided> {
+        let counters = self.counters(&call.job.call.rank);
+        if self.slots.enter() == Entry::Entered {
+            let verdict = Ok(self.enter_fast(counters, deadline));
+            return Some(Decided { call, verdict });
+        }
+        match self.wait(counters, deadline, Waiter::Peer(call)) {
+            Ok(()) => None,
+            Err((Waiter::Peer(call), err)) => Some(Decided {
+                call,
+                verdict: Err(err),
+            }),
+            Err((Waiter::Thread(_), _)) => None,
+        }
+    }
+
+    /// State of the gate.
+    pub fn state(&self) -> GateState {
+        self.slots.state()
+    }
+
+    /// Whether a slot is free.
+    pub fn is_open(&self) -> bool {
+        self.slots.is_open()
+    }
+
+    /// Changes the limit.
+    pub fn set_limit(&self, limit: u32) {
+        self.slots
+            .set_limit(u16::try_from(limit).unwrap_or(u16::MAX));
+    }
+
+    /// Gives a free slot to a request that waits.
+    pub fn grant(self: &Arc<Self>, waiting: &Waiting) -> Option<Permit> {
+        let counters = Arc::clone(&waiting.counters);
+        let is_granted = self.slots.grant();
+        is_granted.then(|| Permit::new(Arc::clone(self), counters, waiting.deadline))
+    }
+
+    /// Counts a request that gets no slot as no longer waiting.
+    pub fn withdraw(&self) {
+        self.slots.withdraw();
+    }
+
+    /// Counters of ranks that are not described.
+    pub fn unknown_rank(&self) -> &Arc<RankCounters> {
+        &self.unknown
+    }
+
+    fn leave(&self) {
+        if self.slots.leave() {
+            // A message that is already there wakes the load controller as well.
+            let _ = self.freed.try_send(());
+        }
+    }
+
+    fn enter_fast(self: &Arc<Self>, counters: Arc<RankCounters>, deadline: Timestamp) -> Permit {
+        counters.admit_fast();
+        Permit::new(Arc::clone(self), counters, deadline)
+    }
+
+    fn counters(&self, rank: &str) -> Arc<RankCounters> {
+        let load = self.load.load();
+        let known = load.counters.0.get(rank);
+        Arc::clone(known.unwrap_or(&self.unknown))
+    }
+
+    fn wait(
+        &self,
+        counters: Arc<RankCounters>,
+        deadline: Timestamp,
+        waiter: Waiter,
+    ) -> Result<(), (Waiter, Error)> {
+        let waiting = Waiting {
+            counters,
+            arrived: self.now(),
+            deadline,
+            waiter,
+        };
+        self.waiting.try_send(waiting).map_err(|err| {
+            self.withdraw();
+            let err_kind = Error::new(ErrorKind::Overloaded, "too many requests wait");
+            (err.into_inner().waiter, err_kind)
+        })
+    }
+}
+
+fn unknown_rank() -> RankName {
+    // The text is a name by its characters.
+    #[allow(clippy::expect_used)]
+    RankName::new(UNKNOWN_RANK).expect("a constant name")
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/gate/packed.rs
@@ -0,0 +1,176 @@
+//! The state of the gate in one atomic word.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const IN_FLIGHT_SHIFT: u32 = 32;
+const LIMIT_SHIFT: u32 = 48;
+
+/// An atomic 64-bit word. Model checkers bring their own.
+pub trait AtomicWord {
+    /// Reads the word.
+    fn get(&self) -> u64;
+
+    /// Replaces `current` by `new`, or gives the word that was found instead. May fail without
+    /// cause.
+    fn replace(&self, current: u64, new: u64) -> Result<(), u64>;
+}
+
+impl AtomicWord for AtomicU64 {
+    fn get(&self) -> u64 {
+        self.load(Ordering::Acquire)
+    }
+
+    fn replace(&self, current: u64, new: u64) -> Result<(), u64> {
+        let swapped = self.compare_exchange_weak(current, new, Ordering::AcqRel, Ordering::Acquire);
+        swapped.map(|_| ())
+    }
+}
+
+/// Limit, requests that run and requests that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateState {
+    /// Requests that may run.
+    pub limit: u16,
+    /// Requests that run. Exceeds `limit` only while a lowered limit takes effect.
+    pub in_flight: u16,
+    /// Requests that wait, including those on their way to the queue.
+    pub waiting: u32,
+}
+
+impl GateState {
+    fn unpack(word: u64) -> Self {
+        Self {
+            limit: (word >> LIMIT_SHIFT) as u16,
+            in_flight: (word >> IN_FLIGHT_SHIFT) as u16,
+            waiting: word as u32,
+        }
+    }
+
+    fn pack(self) -> u64 {
+        u64::from(self.limit) << LIMIT_SHIFT
+            | u64::from(self.in_flight) << IN_FLIGHT_SHIFT
+            | u64::from(self.waiting)
+    }
+
+    fn is_open(self) -> bool {
+        self.in_flight < self.limit
+    }
+}
+
+/// How a request met the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// It runs.
+    Entered,
+    /// It waits.
+    Waits,
+}
+
+/// The packed state. Each change is one compare-and-swap.
+pub struct PackedGate<W> {
+    word: W,
+}
+
+impl<W: AtomicWord> PackedGate<W> {
+    /// A gate over `word`, whose value must be [`Self::initial`].
+    pub fn new(word: W) -> Self {
+        Self { word }
+    }
+
+    /// The word of an empty gate.
+    pub fn initial(limit: u16) -> u64 {
+        let state = GateState {
+            limit,
+            in_flight: 0,
+            waiting: 0,
+        };
+        state.pack()
+    }
+
+    /// The present state.
+    pub fn state(&self) -> GateState {
+        GateState::unpack(self.word.get())
+    }
+
+    /// Enters if a slot is free and nobody waits, else counts as waiting.
+    pub fn enter(&self) -> Entry {
+        let before = self.update(|state| match state.is_open() && state.waiting == 0 {
+            true => Some(GateState {
+                in_flight: state.in_flight + 1,
+                ..state
+            }),
+            false => Some(GateState {
+                waiting: state.waiting + 1,
+                ..state
+            }),
+        });
+        match before.is_some_and(|state| state.is_open() && state.waiting == 0) {
+            true => Entry::Entered,
+            false => Entry::Waits,
+        }
+    }
+
+    /// Gives a free slot to a request that waits. Returns whether a slot was free.
+    pub fn grant(&self) -> bool {
+        let before = self.update(|state| {
+            state.is_open().then(|| GateState {
+                in_flight: state.in_flight + 1,
+                waiting: state.waiting - 1,
+                ..state
+            })
+        });
+        before.is_some()
+    }
+
+    /// Whether a slot is free.
+    pub fn is_open(&self) -> bool {
+        self.state().is_open()
+    }
+
+    /// A request that waits gets no slot.
+    pub fn withdraw(&self) {
+        self.update(|state| {
+            Some(GateState {
+                waiting: state.waiting - 1,
+                ..state
+            })
+        });
+    }
+
+    /// Frees a slot. Returns whether a request waits for it.
+    pub fn leave(&self) -> bool {
+        let before = self.update(|state| {
+            Some(GateState {
+                in_flight: state.in_flight - 1,
+                ..state
+            })
+        });
+        before.is_some_and(|state| state.waiting > 0)
+    }
+
+    /// Changes the limit. Requests that run are not cut.
+    pub fn set_limit(&self, limit: u16) {
+        self.update(|state| Some(GateState { limit, ..state }));
+    }
+
+    /// Applies a change until it meets no other one. Returns the state before it, or `None` if the
+    /// change was not wanted in the state found.
+    fn update(&self, change: impl Fn(GateState) -> Option<GateState>) -> Option<GateState> {
+        let mut word = self.word.get();
+        loop {
+            let before = GateState::unpack(word);
+            let after = change(before)?;
+            match self.word.replace(word, after.pack()) {
+                Ok(()) => return Some(before),
+                Err(found) => word = found,
+            }
+        }
+    }
+}
+
+impl<W: AtomicWord> fmt::Debug for PackedGate<W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.state().fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/gate/permit.rs
@@ -0,0 +1,48 @@
+//! The right to run one request on the back end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_core::load::RankCounters;
+
+use super::Gate;
+
+/// A slot of the back end. It is freed when the permit is dropped, wherever that happens: a thread
+/// that has given up waiting drops the permit together with its channel.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<Gate>,
+    counters: Arc<RankCounters>,
+    deadline: Timestamp,
+    entered: Instant,
+}
+
+impl Permit {
+    /// Invariant: the caller has counted the request as in flight.
+    pub(super) fn new(gate: Arc<Gate>, counters: Arc<RankCounters>, deadline: Timestamp) -> Self {
+        Self {
+            gate,
+            counters,
+            deadline,
+            entered: Instant::now(),
+        }
+    }
+
+    /// Time until the deadline of the request.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.gate.now())
+    }
+
+    /// Frees the slot and counts the time for which it was held.
+    pub fn finish(self, is_failure: bool) {
+        let held = self.entered.elapsed().as_micros() as u64;
+        self.counters.finish(held, is_failure);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gate.leave();
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/local_leg.rs
@@ -0,0 +1,70 @@
+//! Runs calls on the back end beside this daemon.
+
+use std::time::Duration;
+
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use lavenderhatch_core::{Error, ErrorKind};
+
+use super::backend::Backend;
+use super::gate::{Decided, PeerCall, Permit};
+use super::path::{PeerCaller, RequestPath, not_ready};
+
+impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
+    /// Waits for a slot on this thread and runs the call.
+    pub(super) fn run_here(
+        &self,
+        call: &StoredCall,
+        time_left: Duration,
+    ) -> Result<CallAnswer, Error> {
+        self.check_serving()?;
+        let deadline = self.gate.deadline(time_left);
+        let permit = self.gate.enter(&call.rank, deadline)?;
+        self.run_with(call, permit)
+    }
+
+    /// Gives a call of a peer its slot or its refusal; `None` if it waits in the queue.
+    pub(super) fn admit_for_peer(&self, call: Box<PeerCall>) -> Option<Decided> {
+        if let Err(err) = self.check_serving() {
+            return Some(Decided {
+                call,
+                verdict: Err(err),
+            });
+        }
+        let time_left = Duration::from_millis(call.job.call.time_left_ms);
+        let deadline = self.gate.deadline(time_left);
+        self.gate.enter_for_peer(call, deadline)
+    }
+
+    /// Refuses new work while this backend server is leaving.
+    fn check_serving(&self) -> Result<(), Error> {
+        // Before a configuration is in force, this daemon does not know its own planned stops.
+        if self.board.config.load().is_none() {
+            return Err(not_ready());
+        }
+        match self.board.drains.load().is_leaving() {
+            true => Err(self.leaving()),
+            false => Ok(()),
+        }
+    }
+
+    /// Runs a call that holds a slot.
+    pub(super) fn run_with(&self, call: &StoredCall, permit: Permit) -> Result<CallAnswer, Error> {
+        let time_left = permit.time_left();
+        if time_left.is_zero() {
+            let message = "the deadline passed before a slot was free";
+            return Err(Error::new(ErrorKind::DeadlineUnmeetable, message));
+        }
+        let result = self.backend.run(&call.view(), time_left);
+        permit.finish(is_backend_failure(&result));
+        result
+    }
+}
+
+/// Whether the result speaks against the back end. Such results cut the concurrency limit.
+fn is_backend_failure(result: &Result<CallAnswer, Error>) -> bool {
+    match result {
+        // A refusal by a hop below says nothing about this back end.
+        Ok(answer) => answer.status >= 500 && !answer.is_retry_exhausted,
+        Err(_) => true,
+    }
+}
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -1,28 +1,27 @@
 //! From a request to its answer.
+//!
+//! [`RequestPath::handle`] stores the call, `route.rs` chooses backend servers for it, and
+//! `local_leg.rs` runs it on the back end beside this daemon.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lavenderhatch_core::blackboard::Blackboard;
 use lavenderhatch_core::call::{CallAnswer, Header, MAX_DEPTH, StoredCall};
 use lavenderhatch_core::config::RouteEntry;
 use lavenderhatch_core::drain::{InFlight, InFlightGuard};
-use lavenderhatch_core::endpoint::Endpoint;
 use lavenderhatch_core::mesh::KeyPolicy;
-use lavenderhatch_core::{Error, ErrorKind, NodeId};
-use lavenderhatch_decide::endpoints::counts_as_failure;
-use lavenderhatch_decide::routing::choose;
+use lavenderhatch_core::{Error, ErrorKind, NodeId, Zone};
 
 use super::backend::Backend;
-use super::order::{Asked, OrderClient, may_run_elsewhere, without_record};
+use super::gate::Gate;
+use super::order::{OrderClient, without_record};
 use super::order_keys::asks_for_key;
+use super::retry_budget::SharedRetryBudget;
 use crate::peer::{PeerError, PeerLinks};
 
-/// Most backend servers that are tried for one call.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Hands calls to the daemons of other backend servers.
 pub trait PeerCaller: Send + Sync + 'static {
     /// Hands over a call and waits for its answer.
@@ -70,19 +69,33 @@
 #[derive(Debug)]
 pub struct RequestPath<B, L> {
     pub(super) own: NodeId,
+    pub(super) zone: Zone,
     pub(super) board: Blackboard,
     in_flight: Arc<InFlight>,
-    backend: B,
+    pub(super) gate: Arc<Gate>,
+    pub(super) backend: B,
     pub(super) peers: L,
     pub(super) orders: OrderClient,
+    pub(super) budget: SharedRetryBudget,
     next_call: AtomicU64,
 }
 
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
-    /// The path of calls on the daemon named `own`.
-    pub fn new(own: NodeId, board: Blackboard, backend: B, peers: L, orders: OrderClient) -> Self {
+    /// The path of calls on the daemon named `own` in `zone`.
+    pub fn new(
+        own: NodeId,
+        zone: Zone,
+        board: Blackboard,
+        gate: Arc<Gate>,
+        backend: B,
+        peers: L,
+        orders: OrderClient,
+    ) -> Self {
         Self {
             own,
+            zone,
+            gate,
+            budget: SharedRetryBudget::default(),
             in_flight: Arc::clone(&board.drains.load().in_flight),
             board,
             backend,
@@ -115,7 +128,7 @@
             Some(key) => self.route_issued(&key, &call),
             None => self.route(&call, random),
         });
-        result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
+        result.unwrap_or_else(|err| self.refusal(&err, random()))
     }
 
     /// Runs a call that a peer has handed over.
@@ -126,7 +139,7 @@
             true => self.run_once(call, time_left),
             false => Err(not_ready()),
         };
-        result.unwrap_or_else(|err| CallAnswer::from_error(err.kind(), err.message()))
+        result.unwrap_or_else(|err| self.refusal(&err, rand::random()))
     }
 
     /// Finds the route of a request and stores the call.
@@ -177,90 +190,9 @@
         format!("{}-{number:x}", self.own)
     }
 
-    /// Chooses backend servers until one runs the call.
-    fn route(
-        &self,
-        call: &Arc<StoredCall>,
-        random: &mut impl FnMut() -> u64,
-    ) -> Result<CallAnswer, Error> {
-        let start = Instant::now();
-        let allowed = Duration::from_millis(call.time_left_ms);
-        let endpoints = self.board.endpoints.load();
-        let endpoints = endpoints.of(&call.service);
-        let mut excluded = Vec::new();
-        let asked = Asked::default();
-        let mut last = Error::new(
-            ErrorKind::NoBackend,
-            format!("no backend server of service {} is known", call.service),
-        );
-        let mut attempts = 0;
-        while attempts < MAX_ATTEMPTS {
-            let Some(at) = choose(endpoints, &excluded, random()) else {
-                break;
-            };
-            let time_left = allowed.saturating_sub(start.elapsed());
-            match self.attempt(&endpoints[at], call, time_left, &asked) {
-                Ok(answer) => return Ok(answer),
-                Err(err) if may_run_elsewhere(err.kind()) => {
-                    // A server that leaves does no work for the refusal, and several may leave at
-                    // the same time.
-                    attempts += usize::from(err.kind() != ErrorKind::Leaving);
-                    last = err;
-                }
-                Err(err) => return Err(err),
-            }
-            excluded.push(at);
-        }
-        Err(asked.refusal(call, last))
-    }
-
-    fn attempt(
-        &self,
-        endpoint: &Endpoint,
-        call: &Arc<StoredCall>,
-        time_left: Duration,
-        asked: &Asked,
-    ) -> Result<CallAnswer, Error> {
-        let start = Instant::now();
-        endpoint.counters.start();
-        let result = match endpoint.node == self.own {
-            true => asked.note(self.run_once(call, time_left)),
-            false => self.run_there(endpoint.peer_addr, call, time_left, asked),
-        };
-        let is_failure = match &result {
-            Ok(answer) => counts_as_failure(answer.status, answer.error),
-            Err(err) => counts_as_failure(err.kind().answer().status, Some(err.kind())),
-        };
-        endpoint
-            .counters
-            .finish(start.elapsed().as_micros() as u64, is_failure);
-        result
-    }
-
-    pub(super) fn run_here(
-        &self,
-        call: &StoredCall,
-        time_left: Duration,
-    ) -> Result<CallAnswer, Error> {
-        if self.board.drains.load().is_leaving() {
-            return Err(self.leaving());
-        }
-        self.backend.run(&call.view(), time_left)
-    }
-
     pub(super) fn leaving(&self) -> Error {
         Error::new(ErrorKind::Leaving, format!("{} is leaving", self.own))
     }
-
-    fn run_there(
-        &self,
-        addr: SocketAddr,
-        call: &Arc<StoredCall>,
-        time_left: Duration,
-        asked: &Asked,
-    ) -> Result<CallAnswer, Error> {
-        asked.note(result_of(self.peers.carry(addr, call, time_left)?))
-    }
 }
 
 /// The result that a peer has made an answer of.
@@ -270,15 +202,14 @@
             let message = String::from_utf8_lossy(&answer.body);
             let prefix = format!("{kind}: ");
             let message = message.trim_end();
-            Err(Error::new(
-                kind,
-                message.strip_prefix(&prefix).unwrap_or(message),
-            ))
+            let message = message.strip_prefix(&prefix).unwrap_or(message);
+            let err = Error::new(kind, message);
+            Err(err.with_retry(answer.is_retry_exhausted, answer.retry_after_ms))
         }
         None => Ok(answer),
     }
 }
 
-fn not_ready() -> Error {
+pub(super) fn not_ready() -> Error {
     Error::new(ErrorKind::NotReady, "no configuration is in force yet")
 }
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/route.rs
@@ -0,0 +1,144 @@
+//! Chooses backend servers until one runs the call.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::call::{CallAnswer, StoredCall};
+use lavenderhatch_core::endpoint::Endpoint;
+use lavenderhatch_core::{Error, ErrorKind};
+use lavenderhatch_decide::endpoints::counts_as_failure;
+use lavenderhatch_decide::ranks::advise_delay;
+use lavenderhatch_decide::retry::{Failure, RetryCost, retry_cost};
+use lavenderhatch_decide::routing::choose;
+
+use super::backend::Backend;
+use super::order::Asked;
+use super::path::{PeerCaller, RequestPath, result_of};
+
+/// Most backend servers that are tried for one call.
+const MAX_ATTEMPTS: usize = 3;
+
+impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
+    /// Chooses backend servers until one runs the call or the retries are used up.
+    pub(super) fn route(
+        &self,
+        call: &Arc<StoredCall>,
+        random: &mut impl FnMut() -> u64,
+    ) -> Result<CallAnswer, Error> {
+        let start = Instant::now();
+        let allowed = Duration::from_millis(call.time_left_ms);
+        let endpoints = self.board.endpoints.load();
+        let endpoints = endpoints.of(&call.service);
+        let mut excluded = Vec::new();
+        let mut attempts = 0;
+        let asked = Asked::default();
+        self.budget.deposit(self.retry_ratio());
+        let mut at = choose(endpoints, &excluded, &self.zone, random());
+        while let Some(chosen) = at {
+            let time_left = allowed.saturating_sub(start.elapsed());
+            let result = self.attempt(&endpoints[chosen], call, time_left, &asked);
+            let Some(failure) = failure_of(&result, call) else {
+                return result;
+            };
+            excluded.push(chosen);
+            // A server that leaves does no work for the refusal, and several may leave at the same
+            // time.
+            attempts += usize::from(failure.kind != Some(ErrorKind::Leaving));
+            let cost = match start.elapsed() < allowed && attempts < MAX_ATTEMPTS {
+                true => retry_cost(&failure),
+                false => None,
+            };
+            at = cost.and_then(|_| choose(endpoints, &excluded, &self.zone, random()));
+            let is_paid = match cost {
+                Some(RetryCost::Token) => at.is_some() && self.budget.withdraw(),
+                Some(RetryCost::Free) => true,
+                None => false,
+            };
+            if at.is_none() || !is_paid {
+                return mark_exhausted(result.map_err(|err| asked.refusal(call, err)));
+            }
+        }
+        let message = format!("no backend server of service {} is known", call.service);
+        let err = Error::new(ErrorKind::NoBackend, message);
+        Err(asked.refusal(call, err))
+    }
+
+    /// The answer to a call that no back end answered, with jittered advice on when to retry.
+    pub(super) fn refusal(&self, err: &Error, random: u64) -> CallAnswer {
+        let mut answer = CallAnswer::from_error(err.kind(), err.message());
+        answer.is_retry_exhausted = err.is_retry_exhausted();
+        answer.retry_after_ms = err.retry_after_ms();
+        if answer.retry_after_ms.is_none() && err.kind().answer().retry.has_delay() {
+            let load = self.board.load.load();
+            let delay = advise_delay(load.refused_per_s, load.admitted_per_s, random);
+            answer.retry_after_ms = Some(delay);
+        }
+        answer
+    }
+
+    fn retry_ratio(&self) -> f64 {
+        let config = self.board.config.load();
+        let config = config.as_ref().as_ref();
+        config.map_or(0.0, |config| config.mesh.limits().retry_budget)
+    }
+
+    fn attempt(
+        &self,
+        endpoint: &Endpoint,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+        asked: &Asked,
+    ) -> Result<CallAnswer, Error> {
+        let start = Instant::now();
+        endpoint.counters.start();
+        let result = match endpoint.node == self.own {
+            true => asked.note(self.run_once(call, time_left)),
+            false => self.run_there(endpoint.peer_addr, call, time_left, asked),
+        };
+        let is_failure = match &result {
+            Ok(answer) => counts_as_failure(answer.status, answer.error),
+            Err(err) => counts_as_failure(err.kind().answer().status, Some(err.kind())),
+        };
+        endpoint
+            .counters
+            .finish(start.elapsed().as_micros() as u64, is_failure);
+        result
+    }
+
+    fn run_there(
+        &self,
+        addr: SocketAddr,
+        call: &Arc<StoredCall>,
+        time_left: Duration,
+        asked: &Asked,
+    ) -> Result<CallAnswer, Error> {
+        asked.note(result_of(self.peers.carry(addr, call, time_left)?))
+    }
+}
+
+/// What may be retried about the result of an attempt, `None` for an answer to pass on.
+fn failure_of(result: &Result<CallAnswer, Error>, call: &StoredCall) -> Option<Failure> {
+    match result {
+        Ok(answer) => Failure::of_answer(answer, call.is_idempotent),
+        Err(err) => Some(Failure::of_error(
+            err.kind(),
+            call.is_idempotent,
+            err.is_retry_exhausted(),
+        )),
+    }
+}
+
+/// Tells the hops above that this hop has decided on the retries of a failed call.
+fn mark_exhausted(result: Result<CallAnswer, Error>) -> Result<CallAnswer, Error> {
+    match result {
+        Ok(answer) => Ok(CallAnswer {
+            is_retry_exhausted: true,
+            ..answer
+        }),
+        Err(err) => {
+            let after_ms = err.retry_after_ms();
+            Err(err.with_retry(true, after_ms))
+        }
+    }
+}
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -16,6 +16,7 @@
     ServiceName, Timestamp, Version, Zone,
 };
 use lavenderhatch_daemon::peer::{ControlTraffic, PeerError, PeerLinks};
+use lavenderhatch_daemon::request::gate::Gate;
 use lavenderhatch_daemon::request::{
     Backend, IncomingRequest, OrderClient, PeerCaller, RequestPath,
 };
@@ -100,7 +101,9 @@
     let own = NodeId::new("n0").unwrap();
     let calls = AtomicU32::new(0);
     let there = There { refusals, calls };
-    let path = RequestPath::new(own, board.clone(), Here, there, orders());
+    let zone = Zone::new("zone-a").unwrap();
+    let (gate, _, _) = Gate::open(12, board.load.clone());
+    let path = RequestPath::new(own, zone, board.clone(), gate, Here, there, orders());
     (path, board, writers)
 }
 
--- a/crates/lavenderhatch-files/src/settings.rs
+++ b/crates/lavenderhatch-files/src/settings.rs
@@ -60,7 +60,8 @@
     /// Threads for the links to other daemons. Invariant: 1 to 64.
     #[serde(default = "default_peer_threads")]
     pub peer_threads: usize,
-    /// Threads that run calls of other daemons. Invariant: 1 to 4,096.
+    /// Threads that run orders with a key for other daemons; other calls get threads as they get
+    /// slots. Invariant: 1 to 4,096.
     #[serde(default = "default_carry_threads")]
     pub carry_threads: usize,
     /// Peer addresses of daemons that are asked first, for a start while the platform is down.
