Add the measurement of ranks in virtual time

Cause: the decisions on ranks had no figures. Change: the program ranks drives the decision code in a queueing model of five backend servers with 12 slots, beside simple baselines, and measures ways of backing off.

--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/ranks/admission.rs
@@ -0,0 +1,178 @@
+//! Ways to admit requests: the decision code and simple baselines.
+
+use std::collections::VecDeque;
+
+use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_decide::ranks::{
+    AdmissionQueue, Granted, LatencySample, LimitLearner, RankTable, Refused, Request,
+};
+
+use crate::scenario::{MAX_QUEUE, SLOTS};
+
+/// Number of a call.
+pub(crate) type CallNumber = usize;
+
+/// What is compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Variant {
+    /// The decision code as the daemon uses it.
+    Chosen,
+    /// The same with a limit that stays at the number of slots.
+    FixedLimit,
+    /// The same with a backend server chosen at random.
+    RandomChoice,
+    /// First come first served.
+    Arrival,
+    /// The most urgent rank first.
+    Strict,
+}
+
+impl Variant {
+    pub(crate) const ALL: [Variant; 5] = [
+        Variant::Chosen,
+        Variant::FixedLimit,
+        Variant::RandomChoice,
+        Variant::Arrival,
+        Variant::Strict,
+    ];
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Variant::Chosen => "chosen",
+            Variant::FixedLimit => "fixed-limit",
+            Variant::RandomChoice => "random-choice",
+            Variant::Arrival => "first-come",
+            Variant::Strict => "strict-priority",
+        }
+    }
+}
+
+/// Admission of one backend server.
+pub(crate) enum Admission {
+    /// The decision code, with a learned limit or a fixed one.
+    Ranks {
+        queue: Box<AdmissionQueue<CallNumber>>,
+        learner: Option<LimitLearner>,
+    },
+    /// Queues served in their order.
+    Simple(SimpleQueue),
+}
+
+impl Admission {
+    pub(crate) fn new(variant: Variant, table: &RankTable) -> Self {
+        let ranks = table.ranks().len();
+        let learner = LimitLearner::new(SLOTS, ranks, Timestamp(0));
+        match variant {
+            Variant::Arrival => Admission::Simple(SimpleQueue::new(1)),
+            Variant::Strict => Admission::Simple(SimpleQueue::new(ranks)),
+            _ => Admission::Ranks {
+                queue: Box::new(AdmissionQueue::new(table.clone(), SLOTS, MAX_QUEUE)),
+                learner: (variant != Variant::FixedLimit).then_some(learner),
+            },
+        }
+    }
+
+    pub(crate) fn limit(&self) -> u32 {
+        match self {
+            Admission::Ranks {
+                learner: Some(learner),
+                ..
+            } => learner.limit(),
+            _ => SLOTS,
+        }
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        match self {
+            Admission::Ranks { queue, .. } => queue.lengths().sum(),
+            Admission::Simple(queue) => queue.queues.iter().map(VecDeque::len).sum(),
+        }
+    }
+
+    pub(crate) fn admit_fast(&mut self, rank: usize, now: Timestamp) {
+        if let Admission::Ranks { queue, .. } = self {
+            queue.admit_fast(rank, 1, now);
+        }
+    }
+
+    pub(crate) fn offer(&mut self, req: Request<CallNumber>, now: Timestamp) {
+        match self {
+            Admission::Ranks { queue, .. } => queue.offer(req, now),
+            Admission::Simple(queue) => queue.offer(req),
+        }
+    }
+
+    pub(crate) fn next(&mut self, now: Timestamp) -> Option<Granted<CallNumber>> {
+        match self {
+            Admission::Ranks { queue, .. } => queue.next(now),
+            Admission::Simple(queue) => queue.next(now),
+        }
+    }
+
+    pub(crate) fn take_refused(&mut self) -> Vec<Refused<CallNumber>> {
+        match self {
+            Admission::Ranks { queue, .. } => queue.take_refused(),
+            Admission::Simple(queue) => std::mem::take(&mut queue.refused),
+        }
+    }
+
+    /// What the load controller does at each tick.
+    pub(crate) fn tick(&mut self, samples: &[LatencySample], in_flight: u32, now: Timestamp) {
+        let Admission::Ranks { queue, learner } = self else {
+            return;
+        };
+        for (rank, sample) in samples.iter().enumerate() {
+            queue.record(rank, sample.finished, sample.latency_sum_us);
+        }
+        if let Some(learner) = learner {
+            learner.observe(samples, in_flight, now);
+            queue.set_limit(learner.limit());
+        }
+        queue.expire(now);
+    }
+}
+
+/// Queues of bounded length, the first one served first. Requests out of time are dropped when
+/// their turn comes.
+pub(crate) struct SimpleQueue {
+    queues: Vec<VecDeque<Request<CallNumber>>>,
+    refused: Vec<Refused<CallNumber>>,
+}
+
+impl SimpleQueue {
+    fn new(queues: usize) -> Self {
+        Self {
+            queues: (0..queues).map(|_| VecDeque::new()).collect(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn offer(&mut self, req: Request<CallNumber>) {
+        let at = req.rank.min(self.queues.len() - 1);
+        if self.queues[at].len() >= MAX_QUEUE {
+            return self.refuse(&req, ErrorKind::Overloaded);
+        }
+        self.queues[at].push_back(req);
+    }
+
+    fn next(&mut self, now: Timestamp) -> Option<Granted<CallNumber>> {
+        while let Some(req) = self.queues.iter_mut().find_map(VecDeque::pop_front) {
+            if req.deadline > now {
+                return Some(Granted {
+                    item: req.item,
+                    rank: req.rank,
+                });
+            }
+            self.refuse(&req, ErrorKind::DeadlineUnmeetable);
+        }
+        None
+    }
+
+    fn refuse(&mut self, req: &Request<CallNumber>, kind: ErrorKind) {
+        self.refused.push(Refused {
+            item: req.item,
+            rank: req.rank,
+            kind,
+        });
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/ranks/caller.rs
@@ -0,0 +1,123 @@
+//! The daemon of one availability zone at which calls enter.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lavenderhatch_core::endpoint::{Endpoint, EndpointCounters, FULL_WEIGHT};
+use lavenderhatch_core::{Incarnation, NodeId, Zone};
+use lavenderhatch_decide::retry::RetryTokens;
+use lavenderhatch_decide::routing::choose;
+
+use crate::scenario::{SERVERS, SLOTS};
+
+/// Availability zones.
+pub(crate) const ZONES: usize = 3;
+/// One way within a zone, in microseconds.
+const NEAR_US: u64 = 100;
+/// One way between zones, in microseconds.
+const FAR_US: u64 = 1000;
+/// Weight at the start of a backend server, in thousandths.
+const FIRST_WEIGHT: u64 = 100;
+/// Time in which the weight grows to the full one.
+const SLOW_START_US: u64 = 20_000_000;
+
+/// Endpoints, counters and retry budget of one daemon.
+pub(crate) struct Caller {
+    number: usize,
+    zone: Zone,
+    endpoints: Vec<Endpoint>,
+    /// When a backend server came back.
+    back_since: [Option<u64>; SERVERS],
+    budget: RetryTokens,
+}
+
+impl Caller {
+    pub(crate) fn new(number: usize) -> eyre::Result<Self> {
+        let endpoints: eyre::Result<Vec<Endpoint>> = (0..SERVERS).map(endpoint).collect();
+        Ok(Self {
+            number,
+            zone: zone(number)?,
+            endpoints: endpoints?,
+            back_since: [None; SERVERS],
+            budget: RetryTokens::default(),
+        })
+    }
+
+    pub(crate) fn deposit(&mut self, ratio: f64) {
+        self.budget = self.budget.deposit(ratio);
+    }
+
+    pub(crate) fn withdraw(&mut self) -> bool {
+        let after = self.budget.withdraw();
+        self.budget = after.unwrap_or(self.budget);
+        after.is_some()
+    }
+
+    pub(crate) fn choose(&self, tried: &[usize], random: u64, is_random: bool) -> Option<usize> {
+        if !is_random {
+            return choose(&self.endpoints, tried, &self.zone, random);
+        }
+        let is_open = |at: &usize| !tried.contains(at) && !self.endpoints[*at].is_last_resort;
+        let open: Vec<usize> = (0..SERVERS).filter(is_open).collect();
+        match open.len() {
+            0 => None,
+            len => Some(open[random as usize % len]),
+        }
+    }
+
+    /// Counts a call that starts. Returns the time one way.
+    pub(crate) fn start(&self, server: usize) -> u64 {
+        self.endpoints[server].counters.start();
+        self.delay_us(server)
+    }
+
+    pub(crate) fn finish(&self, server: usize) {
+        self.endpoints[server].counters.finish(0, false);
+    }
+
+    pub(crate) fn delay_us(&self, server: usize) -> u64 {
+        match server % ZONES == self.number {
+            true => NEAR_US,
+            false => FAR_US,
+        }
+    }
+
+    /// Takes in heartbeats: the work of other daemons on each backend server.
+    pub(crate) fn report(&self, load: impl Fn(usize) -> u32) {
+        for (at, endpoint) in self.endpoints.iter().enumerate() {
+            let own = endpoint.counters.outstanding();
+            endpoint.counters.report(load(at).saturating_sub(own));
+        }
+    }
+
+    /// Takes in which backend servers are up, with slow start for those that come back.
+    pub(crate) fn update(&mut self, is_up: impl Fn(usize) -> bool, now_us: u64) {
+        for (at, endpoint) in self.endpoints.iter_mut().enumerate() {
+            if endpoint.is_last_resort && is_up(at) {
+                self.back_since[at] = Some(now_us);
+            }
+            endpoint.is_last_resort = !is_up(at);
+            if let Some(since) = self.back_since[at] {
+                let grown = u64::from(FULL_WEIGHT) * (now_us - since) / SLOW_START_US;
+                endpoint.weight = grown.clamp(FIRST_WEIGHT, u64::from(FULL_WEIGHT)) as u32;
+            }
+        }
+    }
+}
+
+fn zone(number: usize) -> eyre::Result<Zone> {
+    Ok(Zone::new(&format!("zone-{number}"))?)
+}
+
+fn endpoint(number: usize) -> eyre::Result<Endpoint> {
+    Ok(Endpoint {
+        node: NodeId::new(&format!("o{number}"))?,
+        incarnation: Incarnation(1),
+        zone: zone(number % ZONES)?,
+        peer_addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        slots: SLOTS,
+        weight: FULL_WEIGHT,
+        is_last_resort: false,
+        counters: Arc::new(EndpointCounters::default()),
+    })
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/ranks/crowd.rs
@@ -0,0 +1,151 @@
+//! How long a refused crowd needs to be served, by its way of backing off.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use lavenderhatch_decide::ranks::{Backoff, advise_delay};
+use rand::{Rng, RngExt};
+use rand_pcg::Pcg64Mcg;
+
+use crate::scenario::{SERVICE_US, SLOTS};
+
+/// Requests that a backend server holds, running or waiting. More are refused.
+const ROOM: usize = 3 * SLOTS as usize;
+const BASE_MS: u64 = 50;
+const CAP_MS: u64 = 2000;
+/// Span in which the peak of retries is counted, in microseconds.
+const SPAN_US: u64 = 100_000;
+const SECOND_US: u64 = 1_000_000;
+/// Longest run, in microseconds.
+const MAX_US: u64 = 600 * SECOND_US;
+
+/// How refused callers decide when to ask again.
+#[derive(Clone, Copy)]
+pub(crate) enum Advice {
+    /// Each caller backs off by itself.
+    Own(Backoff),
+    /// The daemon advises a time by its refusals and admissions of the last second.
+    Daemon,
+}
+
+impl Advice {
+    pub(crate) fn all() -> impl Iterator<Item = Advice> {
+        let own = Backoff::ALL.into_iter().map(Advice::Own);
+        own.chain([Advice::Daemon])
+    }
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Advice::Own(Backoff::Plain) => "plain exponential",
+            Advice::Own(Backoff::Capped) => "capped exponential",
+            Advice::Own(Backoff::FullJitter) => "full jitter",
+            Advice::Own(Backoff::EqualJitter) => "capped, half + random",
+            Advice::Daemon => "advice of the daemon",
+        }
+    }
+}
+
+/// What a crowd met.
+pub(crate) struct CrowdOutcome {
+    /// Time until half of the crowd was served, in seconds.
+    pub(crate) half_s: f64,
+    /// Time until 99 in 100 were served, in seconds.
+    pub(crate) most_s: f64,
+    /// Time until all were served, in seconds; at most the length of a run.
+    pub(crate) all_s: f64,
+    /// Retries for each caller.
+    pub(crate) retries: f64,
+    /// Most retries in a span of 100 ms after the first arrival of the crowd.
+    pub(crate) peak: usize,
+}
+
+/// Lets a crowd arrive at once at one backend server.
+pub(crate) fn run(advice: Advice, callers: usize, mut rng: Pcg64Mcg) -> CrowdOutcome {
+    let mut asks: BinaryHeap<Reverse<(u64, usize)>> =
+        (0..callers).map(|caller| Reverse((0, caller))).collect();
+    let mut refusals = vec![0; callers];
+    let mut slots = Slots::default();
+    let (mut served, mut refused, mut retries) = (Vec::new(), Vec::new(), Vec::new());
+    while let Some(Reverse((now, caller))) = asks.pop() {
+        if now > MAX_US {
+            break;
+        }
+        if now > 0 {
+            retries.push(now);
+        }
+        match slots.take(now, &mut rng) {
+            Some(done) => served.push(done),
+            None => {
+                refused.push(now);
+                refusals[caller] += 1;
+                let delay = delay_ms(advice, refusals[caller], &served, &refused, &mut rng, now);
+                asks.push(Reverse((now + delay.max(1) * 1000, caller)));
+            }
+        }
+    }
+    served.sort_unstable();
+    let at = |part: f64| {
+        let index = (callers as f64 * part).ceil() as usize - 1;
+        served.get(index).copied().unwrap_or(MAX_US) as f64 / SECOND_US as f64
+    };
+    CrowdOutcome {
+        half_s: at(0.5),
+        most_s: at(0.99),
+        all_s: at(1.0),
+        retries: retries.len() as f64 / callers as f64,
+        peak: peak(&retries),
+    }
+}
+
+fn delay_ms(
+    advice: Advice,
+    refusals: u32,
+    served: &[u64],
+    refused: &[u64],
+    rng: &mut Pcg64Mcg,
+    now: u64,
+) -> u64 {
+    let random = rng.next_u64();
+    match advice {
+        Advice::Own(backoff) => backoff.delay_ms(refusals, BASE_MS, CAP_MS, random),
+        Advice::Daemon => {
+            let since = now.saturating_sub(SECOND_US);
+            let refused = refused.len() - refused.partition_point(|at| *at < since);
+            let recent = |at: &&u64| **at >= since && **at <= now + SECOND_US;
+            let admitted = served.iter().rev().take(4000).filter(recent).count();
+            advise_delay(refused as u32, admitted as u32, random)
+        }
+    }
+}
+
+/// Slots and queue of the backend server, as the times at which they fall free.
+#[derive(Default)]
+struct Slots {
+    /// Ends of admitted requests. Invariant: at most `ROOM`.
+    ends: Vec<u64>,
+}
+
+impl Slots {
+    /// Admits a request at `now`. Returns when it is answered, or `None` if there is no room.
+    fn take(&mut self, now: u64, rng: &mut Pcg64Mcg) -> Option<u64> {
+        self.ends.retain(|end| *end > now);
+        if self.ends.len() >= ROOM {
+            return None;
+        }
+        self.ends.sort_unstable();
+        let slots = SLOTS as usize;
+        let free_at = match self.ends.len() >= slots {
+            true => self.ends[self.ends.len() - slots],
+            false => now,
+        };
+        let uniform: f64 = rng.random();
+        let end = free_at + (-(1.0 - uniform).ln() * SERVICE_US) as u64;
+        self.ends.push(end);
+        Some(end)
+    }
+}
+
+fn peak(retries: &[u64]) -> usize {
+    let spans = retries.chunk_by(|a, b| a / SPAN_US == b / SPAN_US);
+    spans.map(<[u64]>::len).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/ranks/model.rs
@@ -0,0 +1,392 @@
+//! A queueing model of one service, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_decide::ranks::{RankTable, Request};
+use lavenderhatch_decide::retry::{Failure, RetryCost, retry_cost};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::admission::{Admission, CallNumber, Variant};
+use crate::caller::{Caller, ZONES};
+use crate::outcome::Outcome;
+use crate::scenario::{Fault, RANKS, SERVERS, SERVICE_US, Scenario};
+use crate::server::{Running, Server};
+
+const SECOND_US: u64 = 1_000_000;
+const TICK_US: u64 = 20_000;
+/// Time after which callers know of a lost backend server, and between two looks at weights.
+const DETECTION_US: u64 = 100_000;
+/// Time for which a backend server that comes back is down.
+const DOWN_US: u64 = SECOND_US;
+/// Most backend servers tried for one call.
+const MAX_ATTEMPTS: usize = 3;
+const RETRY_RATIO: f64 = 0.1;
+/// The backend server that fails.
+const FAILING: usize = 1;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive {
+        rank: usize,
+    },
+    Reach {
+        call: CallNumber,
+        server: usize,
+    },
+    Done {
+        server: usize,
+        epoch: u32,
+        call: CallNumber,
+        rank: usize,
+        admitted_us: u64,
+    },
+    Back {
+        call: CallNumber,
+        server: usize,
+        error: Option<ErrorCode>,
+    },
+    Tick,
+    Heartbeat,
+    Weights,
+    Fail,
+    Restart,
+}
+
+/// Code of an error kind, which has an order.
+type ErrorCode = u16;
+
+struct Call {
+    rank: usize,
+    zone: usize,
+    start_us: u64,
+    tried: Vec<usize>,
+}
+
+/// A run of one variant under one scenario.
+pub(crate) struct Model<'a> {
+    scenario: Scenario,
+    variant: Variant,
+    table: &'a RankTable,
+    rng: Pcg64Mcg,
+    now_us: u64,
+    end_us: u64,
+    warm_up_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    next_event: u64,
+    calls: Vec<Call>,
+    servers: Vec<Server>,
+    callers: Vec<Caller>,
+    outcome: Outcome,
+}
+
+impl<'a> Model<'a> {
+    pub(crate) fn new(
+        scenario: Scenario,
+        variant: Variant,
+        table: &'a RankTable,
+        rng: Pcg64Mcg,
+        seconds: u64,
+    ) -> eyre::Result<Self> {
+        let server = || Server::new(Admission::new(variant, table), table.ranks().len());
+        let callers: eyre::Result<Vec<Caller>> = (0..ZONES).map(Caller::new).collect();
+        let warm_up_us = 2 * SECOND_US;
+        let mut model = Self {
+            scenario,
+            variant,
+            table,
+            rng,
+            now_us: 0,
+            end_us: warm_up_us + seconds * SECOND_US,
+            warm_up_us,
+            events: BinaryHeap::new(),
+            next_event: 0,
+            calls: Vec::new(),
+            servers: (0..SERVERS).map(|_| server()).collect(),
+            callers: callers?,
+            outcome: Outcome::new(seconds),
+        };
+        model.start();
+        Ok(model)
+    }
+
+    fn start(&mut self) {
+        for rank in 0..RANKS.len() {
+            self.at(0, Event::Arrive { rank });
+        }
+        self.at(TICK_US, Event::Tick);
+        self.at(SECOND_US, Event::Heartbeat);
+        self.at(DETECTION_US, Event::Weights);
+        if self.scenario.fault != Fault::None {
+            self.at(self.warm_up_us + SECOND_US, Event::Fail);
+        }
+        if self.scenario.fault == Fault::Cold {
+            self.at(self.warm_up_us + SECOND_US + DOWN_US, Event::Restart);
+        }
+    }
+
+    /// Runs to the end.
+    pub(crate) fn run(mut self) -> Outcome {
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            if time > self.end_us {
+                break;
+            }
+            self.now_us = time;
+            self.handle(event);
+        }
+        self.outcome
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { rank } => self.arrive(rank),
+            Event::Reach { call, server } => self.reach(call, server),
+            Event::Done {
+                server,
+                epoch,
+                call,
+                rank,
+                admitted_us,
+            } => {
+                if self.servers[server].epoch == epoch {
+                    self.done(
+                        server,
+                        Running {
+                            call,
+                            rank,
+                            admitted_us,
+                        },
+                    );
+                }
+            }
+            Event::Back {
+                call,
+                server,
+                error,
+            } => self.back(call, server, error),
+            Event::Tick => self.tick(),
+            Event::Heartbeat => {
+                let servers = &self.servers;
+                let load = |at: usize| {
+                    (servers[at].in_flight.len() + servers[at].admission.waiting()) as u32
+                };
+                self.callers.iter().for_each(|caller| caller.report(load));
+                self.after(SECOND_US, Event::Heartbeat);
+            }
+            Event::Weights => {
+                let (servers, now_us) = (&self.servers, self.now_us);
+                let is_up = |at: usize| servers[at].is_up;
+                self.callers
+                    .iter_mut()
+                    .for_each(|caller| caller.update(is_up, now_us));
+                self.after(DETECTION_US, Event::Weights);
+            }
+            Event::Fail => self.fail(),
+            Event::Restart => {
+                let admission = Admission::new(self.variant, self.table);
+                self.servers[FAILING].restart(admission);
+            }
+        }
+    }
+
+    fn arrive(&mut self, rank: usize) {
+        let gap = self.exponential(1e6 / self.scenario.rates()[rank]);
+        self.after(gap, Event::Arrive { rank });
+        let zone = self.rng.random_range(0..ZONES);
+        let call = self.calls.len();
+        self.calls.push(Call {
+            rank,
+            zone,
+            start_us: self.now_us,
+            tried: Vec::new(),
+        });
+        if self.is_counted(call) {
+            self.outcome.offer(rank);
+        }
+        self.callers[zone].deposit(RETRY_RATIO);
+        self.try_next(call);
+    }
+
+    /// Hands a call to the next backend server, if there is one.
+    fn try_next(&mut self, call: CallNumber) -> bool {
+        let random = self.rng.random();
+        let Call { zone, tried, .. } = &self.calls[call];
+        let is_random = self.variant == Variant::RandomChoice;
+        let Some(server) = self.callers[*zone].choose(tried, random, is_random) else {
+            return false;
+        };
+        let delay = self.callers[*zone].start(server);
+        self.calls[call].tried.push(server);
+        self.after(delay, Event::Reach { call, server });
+        true
+    }
+
+    fn reach(&mut self, call: CallNumber, server: usize) {
+        if !self.servers[server].is_up {
+            return self.answer(call, server, Some(ErrorKind::NoBackend));
+        }
+        let (now, rank) = (self.now(), self.calls[call].rank);
+        let target = &mut self.servers[server];
+        if target.is_open() && target.admission.waiting() == 0 {
+            target.admission.admit_fast(rank, now);
+            return self.admit(server, call, rank);
+        }
+        let left_us = RANKS[rank].timeout_ms * 1000;
+        let deadline = Timestamp((self.calls[call].start_us + left_us) / 1000);
+        let request = Request {
+            item: call,
+            rank,
+            arrived: now,
+            deadline,
+        };
+        target.admission.offer(request, now);
+        self.dispatch(server);
+    }
+
+    fn dispatch(&mut self, server: usize) {
+        let now = self.now();
+        while self.servers[server].is_open() {
+            let Some(granted) = self.servers[server].admission.next(now) else {
+                break;
+            };
+            self.admit(server, granted.item, granted.rank);
+        }
+        for refused in self.servers[server].admission.take_refused() {
+            self.answer(refused.item, server, Some(refused.kind));
+        }
+    }
+
+    fn admit(&mut self, server: usize, call: CallNumber, rank: usize) {
+        let running = Running {
+            call,
+            rank,
+            admitted_us: self.now_us,
+        };
+        if let Some(running) = self.servers[server].admit(running) {
+            self.begin(server, running);
+        }
+    }
+
+    fn begin(&mut self, server: usize, running: Running) {
+        let slowness = self.servers[server].slowness();
+        let time = self.exponential(SERVICE_US * slowness);
+        let Running {
+            call,
+            rank,
+            admitted_us,
+        } = running;
+        let epoch = self.servers[server].epoch;
+        self.after(
+            time,
+            Event::Done {
+                server,
+                epoch,
+                call,
+                rank,
+                admitted_us,
+            },
+        );
+    }
+
+    fn done(&mut self, server: usize, running: Running) {
+        self.answer(running.call, server, None);
+        if let Some(next) = self.servers[server].finish(running, self.now_us) {
+            self.begin(server, next);
+        }
+        self.dispatch(server);
+    }
+
+    /// Sends an answer on its way to the caller.
+    fn answer(&mut self, call: CallNumber, server: usize, error: Option<ErrorKind>) {
+        let delay = self.callers[self.calls[call].zone].delay_us(server);
+        let error = error.map(ErrorKind::code);
+        self.after(
+            delay,
+            Event::Back {
+                call,
+                server,
+                error,
+            },
+        );
+    }
+
+    fn back(&mut self, call: CallNumber, server: usize, error: Option<ErrorCode>) {
+        let Call {
+            zone,
+            rank,
+            start_us,
+            ref tried,
+        } = self.calls[call];
+        self.callers[zone].finish(server);
+        let latency_us = self.now_us - start_us;
+        let Some(code) = error else {
+            if self.is_counted(call) {
+                self.outcome.answer(rank, latency_us);
+            }
+            return;
+        };
+        let failure = Failure::of_error(ErrorKind::from_code(code), true, false);
+        let is_in_time = latency_us < RANKS[rank].timeout_ms * 1000 && tried.len() < MAX_ATTEMPTS;
+        let is_retried = is_in_time
+            && match retry_cost(&failure) {
+                Some(RetryCost::Token) => self.callers[zone].withdraw(),
+                Some(RetryCost::Free) => true,
+                None => false,
+            };
+        if (!is_retried || !self.try_next(call)) && self.is_counted(call) {
+            self.outcome.refuse(rank);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        for server in 0..SERVERS {
+            if self.servers[server].is_up {
+                self.servers[server].tick(now);
+                self.dispatch(server);
+            }
+        }
+        self.after(TICK_US, Event::Tick);
+    }
+
+    fn fail(&mut self) {
+        for running in self.servers[FAILING].fail() {
+            self.answer(running.call, FAILING, Some(ErrorKind::BackendFailed));
+        }
+        // The queue of the lost daemon fails with it.
+        let now = self.now();
+        while let Some(granted) = self.servers[FAILING].admission.next(now) {
+            self.answer(granted.item, FAILING, Some(ErrorKind::BackendFailed));
+        }
+        for refused in self.servers[FAILING].admission.take_refused() {
+            self.answer(refused.item, FAILING, Some(ErrorKind::BackendFailed));
+        }
+    }
+
+    /// Whether a call counts: it came after the warm-up, early enough to be answered.
+    fn is_counted(&self, call: CallNumber) -> bool {
+        let start = self.calls[call].start_us;
+        start >= self.warm_up_us && start + SECOND_US < self.end_us
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.now_us / 1000)
+    }
+
+    fn exponential(&mut self, mean: f64) -> u64 {
+        let uniform: f64 = self.rng.random();
+        (-(1.0 - uniform).ln() * mean) as u64
+    }
+
+    fn after(&mut self, delay_us: u64, event: Event) {
+        self.at(self.now_us + delay_us, event);
+    }
+
+    fn at(&mut self, time_us: u64, event: Event) {
+        // Events of one moment keep the order in which they were planned.
+        self.next_event += 1;
+        self.events.push(Reverse((time_us, self.next_event, event)));
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/ranks/scenario.rs
@@ -0,0 +1,117 @@
+//! Loads and faults.
+
+use std::collections::BTreeMap;
+
+use lavenderhatch_core::RankName;
+use lavenderhatch_core::mesh::Rank;
+use lavenderhatch_decide::ranks::RankTable;
+
+/// Backend servers of the service.
+pub(crate) const SERVERS: usize = 5;
+/// Slots of each.
+pub(crate) const SLOTS: u32 = 12;
+/// Longest queue of one rank on one backend server.
+pub(crate) const MAX_QUEUE: usize = 1000;
+/// Mean of the exponential service times, in microseconds.
+pub(crate) const SERVICE_US: f64 = 10_000.0;
+/// Part of its guaranteed share that each rank but the flooding one offers.
+const OFFERED_OF_SHARE: f64 = 0.8;
+
+/// Requests a second that the service can run.
+pub(crate) fn capacity() -> f64 {
+    SERVERS as f64 * f64::from(SLOTS) * 1e6 / SERVICE_US
+}
+
+/// A rank of the scenario.
+pub(crate) struct RankLoad {
+    pub(crate) name: &'static str,
+    pub(crate) target_ms: u64,
+    pub(crate) timeout_ms: u64,
+    pub(crate) worth: u32,
+    pub(crate) share: f64,
+}
+
+/// Ranks as in `examples/mesh`, most urgent first.
+pub(crate) const RANKS: [RankLoad; 3] = [
+    RankLoad {
+        name: "urgent",
+        target_ms: 50,
+        timeout_ms: 1000,
+        worth: 100,
+        share: 0.4,
+    },
+    RankLoad {
+        name: "normal",
+        target_ms: 200,
+        timeout_ms: 2000,
+        worth: 20,
+        share: 0.3,
+    },
+    RankLoad {
+        name: "background",
+        target_ms: 2000,
+        timeout_ms: 5000,
+        worth: 1,
+        share: 0.1,
+    },
+];
+
+/// The ranks as the decision code sees them.
+pub(crate) fn table() -> eyre::Result<RankTable> {
+    let mut ranks = BTreeMap::new();
+    for load in &RANKS {
+        let rank = Rank {
+            target_ms: load.target_ms,
+            worth: load.worth,
+            share: load.share,
+        };
+        ranks.insert(RankName::new(load.name)?, rank);
+    }
+    Ok(RankTable::new(&ranks))
+}
+
+/// What fails during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// A backend server is lost and does not come back.
+    Lost,
+    /// A backend server is lost and comes back after a second with a cold start.
+    Cold,
+}
+
+impl Fault {
+    pub(crate) const ALL: [Fault; 3] = [Fault::None, Fault::Lost, Fault::Cold];
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Fault::None => "none",
+            Fault::Lost => "server lost",
+            Fault::Cold => "cold start",
+        }
+    }
+}
+
+/// One load with one fault.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scenario {
+    /// Offered load over capacity.
+    pub(crate) load: f64,
+    /// Position of the rank that floods in.
+    pub(crate) flood: usize,
+    pub(crate) fault: Fault,
+}
+
+impl Scenario {
+    /// Offered requests a second, by rank. The flooding rank offers what the others leave of the
+    /// load.
+    pub(crate) fn rates(&self) -> [f64; RANKS.len()] {
+        let mut rates = [0.0; RANKS.len()];
+        for (rate, rank) in rates.iter_mut().zip(&RANKS) {
+            *rate = rank.share * OFFERED_OF_SHARE * self.load.min(1.0) * capacity();
+        }
+        rates[self.flood] = 0.0;
+        rates[self.flood] = self.load * capacity() - rates.iter().sum::<f64>();
+        rates
+    }
+}
