Keep the learned limit from falling without a cause

Cause: the baseline of a rank was the least of many means of few samples, far below the latency of an idle back end; a smaller limit made the samples fewer still, so the limit collapsed under load. Change: a mean has at least 200 samples of the rank, the tolerance grows with the noise of a step, and a limit that is not in full use is not cut.

--- a/crates/lavenderhatch-decide/src/ranks/limit.rs
+++ b/crates/lavenderhatch-decide/src/ranks/limit.rs
@@ -5,17 +5,22 @@
 
 use lavenderhatch_core::Timestamp;
 
-/// Latency over the lowest recent latency at which the limit stops growing. Means of a hundred
-/// samples of an exponential distribution differ by up to a fifth from each other.
+/// Latency over the lowest recent latency at which the limit stops growing, for many samples.
 const TOLERANCE: f64 = 1.5;
+/// Added to the tolerance, divided by the square root of the samples: two standard deviations of
+/// a mean of exponentially distributed times.
+const NOISE: f64 = 2.0;
 /// Greatest cut by latency in one step.
 const LEAST_GRADIENT: f64 = 0.8;
 /// Cut in one step in which errors exceed their level.
 const ERROR_CUT: f64 = 0.7;
 /// Part of failures that cuts the limit.
 const ERROR_LEVEL: f64 = 0.1;
-/// Samples of a step, for each request that may run.
-const SAMPLES_PER_SLOT: f64 = 8.0;
+/// Samples of a step, unless it ends by its length.
+const STEP_SAMPLES: u64 = 100;
+/// Samples of a rank that make a mean for its baseline. The least of many means of few samples
+/// would lie far below the latency of an idle back end, and the limit would fall without a cause.
+const BASELINE_SAMPLES: u64 = 200;
 /// Longest step.
 const MAX_STEP: Duration = Duration::from_secs(1);
 /// Age at which a mean latency no longer counts as recent.
@@ -53,12 +58,23 @@
 /// Lowest of the mean latencies of the last seconds.
 #[derive(Clone, Debug, Default)]
 struct Baseline {
+    /// What finished since the last mean.
+    sum: LatencySample,
     /// Means with the end of their step. Invariant: ascending in time and in value.
     means: VecDeque<(Timestamp, f64)>,
 }
 
 impl Baseline {
-    fn record(&mut self, mean: f64, now: Timestamp) {
+    fn record(&mut self, step: &LatencySample, now: Timestamp) {
+        self.sum.add(step);
+        let is_first = self.means.is_empty();
+        if self.sum.finished < BASELINE_SAMPLES && !is_first {
+            return;
+        }
+        let Some(mean) = self.sum.mean_us() else {
+            return;
+        };
+        self.sum = LatencySample::default();
         while self.means.back().is_some_and(|(_, last)| *last >= mean) {
             self.means.pop_back();
         }
@@ -132,8 +148,7 @@
         sums.for_each(|(sum, sample)| sum.add(sample));
         let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
         let is_full = f64::from(in_flight) >= f64::from(self.limit()) * FULL_USE;
-        let is_enough = finished as f64 >= self.limit * SAMPLES_PER_SLOT;
-        if !is_enough && (finished == 0 || now.since(self.step_start) < MAX_STEP) {
+        if finished < STEP_SAMPLES && (finished == 0 || now.since(self.step_start) < MAX_STEP) {
             return;
         }
         self.end_step(is_full, now);
@@ -165,13 +180,16 @@
 
     /// The limit after a step without many errors.
     fn follow(&self, is_full: bool) -> f64 {
-        let gradient = (TOLERANCE / self.slowdown()).clamp(LEAST_GRADIENT, 1.0);
-        if gradient < 1.0 {
-            return self.limit * gradient;
+        // A limit that is not in use has no part in the latency.
+        if !is_full {
+            return self.limit;
         }
-        match is_full {
-            true => self.limit + (self.limit.sqrt() / 2.0).max(1.0),
-            false => self.limit,
+        let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
+        let tolerance = TOLERANCE + NOISE / (finished as f64).sqrt();
+        let gradient = (tolerance / self.slowdown()).clamp(LEAST_GRADIENT, 1.0);
+        match gradient < 1.0 {
+            true => self.limit * gradient,
+            false => self.limit + (self.limit.sqrt() / 2.0).max(1.0),
         }
     }
 
@@ -199,9 +217,7 @@
 
     fn record_baselines(&mut self, now: Timestamp) {
         for (baseline, sum) in self.baselines.iter_mut().zip(&self.step) {
-            if let Some(mean) = sum.mean_us() {
-                baseline.record(mean, now);
-            }
+            baseline.record(sum, now);
         }
     }
 
