Compare outstanding work only up to twice the slots

Cause: a backend server that refused its standing queue had the least outstanding work and drew the calls of all ranks, while work that waits by rank says little about the wait of a call. Change: outstanding work above twice the slots makes no difference.

--- a/crates/lavenderhatch-decide/src/routing/choose.rs
+++ b/crates/lavenderhatch-decide/src/routing/choose.rs
@@ -5,6 +5,10 @@
 
 /// Part of the slots of the own zone that is in use when calls spill over to other zones.
 const SPILL_LEVEL: f64 = 0.8;
+/// Outstanding work over capacity from which on more makes no difference. Work above it waits by
+/// rank, so its amount does not tell how long a call waits; a backend server that has just refused
+/// its queue would draw the calls of all ranks.
+const MAX_COMPARED: f64 = 2.0;
 
 /// Chooses a backend server by two random candidates and less outstanding work for their weight.
 ///
@@ -63,7 +67,8 @@
 
 /// Outstanding work, one more call included, for each unit of capacity.
 fn cost(endpoint: &Endpoint) -> f64 {
-    (f64::from(outstanding(endpoint)) + 1.0) / capacity(endpoint)
+    let cost = (f64::from(outstanding(endpoint)) + 1.0) / capacity(endpoint);
+    cost.min(MAX_COMPARED)
 }
 
 /// Calls in flight from this daemon and those that the backend server has reported.
