Smooth the learned limit and let a collapsed one recover

Cause: a rank with few requests got a baseline from its first one or two samples, so its later latency looked like congestion; one backend server fell to a limit of 1 and stayed there, because no probe is made below a limit of 2. Change: a baseline needs 500 samples, ranks without one are left out, the slowdown is smoothed, growth above the described slots is slow, and at a limit below 2 the present latency is the baseline.

--- a/crates/lavenderhatch-decide/src/ranks/limit.rs
+++ b/crates/lavenderhatch-decide/src/ranks/limit.rs
@@ -7,9 +7,15 @@
 
 /// Latency over the lowest recent latency at which the limit stops growing, for many samples.
 const TOLERANCE: f64 = 1.5;
-/// Added to the tolerance, divided by the square root of the samples: two standard deviations of
-/// a mean of exponentially distributed times.
-const NOISE: f64 = 2.0;
+/// The same above the described slots, where a back end that keeps to them only queues.
+const TOLERANCE_ABOVE_SLOTS: f64 = 1.1;
+/// Added to the tolerance, divided by the square root of the samples of a step: two standard
+/// deviations of the smoothed mean of exponentially distributed times.
+const NOISE: f64 = 1.0;
+/// Weight of a step in the smoothed slowdown.
+const STEP_WEIGHT: f64 = 0.3;
+/// Growth in one step above the described slots, in requests.
+const GROWTH_ABOVE_SLOTS: f64 = 0.5;
 /// Greatest cut by latency in one step.
 const LEAST_GRADIENT: f64 = 0.8;
 /// Cut in one step in which errors exceed their level.
@@ -20,13 +26,13 @@
 const STEP_SAMPLES: u64 = 100;
 /// Samples of a rank that make a mean for its baseline. The least of many means of few samples
 /// would lie far below the latency of an idle back end, and the limit would fall without a cause.
-const BASELINE_SAMPLES: u64 = 200;
+const BASELINE_SAMPLES: u64 = 500;
 /// Longest step.
 const MAX_STEP: Duration = Duration::from_secs(1);
 /// Age at which a mean latency no longer counts as recent.
-const BASELINE_AGE: Duration = Duration::from_secs(10);
+const BASELINE_AGE: Duration = Duration::from_secs(20);
 /// Time for which the limit may be in full use before a lower limit is probed.
-const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
 /// Part of the limit that is probed.
 const PROBE_PART: f64 = 0.7;
 /// Part of the limit whose use counts as full.
@@ -67,13 +73,12 @@
 impl Baseline {
     fn record(&mut self, step: &LatencySample, now: Timestamp) {
         self.sum.add(step);
-        let is_first = self.means.is_empty();
-        if self.sum.finished < BASELINE_SAMPLES && !is_first {
-            return;
-        }
         let Some(mean) = self.sum.mean_us() else {
             return;
         };
+        if self.sum.finished < BASELINE_SAMPLES {
+            return;
+        }
         self.sum = LatencySample::default();
         while self.means.back().is_some_and(|(_, last)| *last >= mean) {
             self.means.pop_back();
@@ -113,6 +118,8 @@
     slots: u32,
     /// Invariant: 1 to `slots` x 2.
     limit: f64,
+    /// Smoothed latency over the lowest recent latency.
+    slowdown: f64,
     phase: Phase,
     step: Vec<LatencySample>,
     step_start: Timestamp,
@@ -126,6 +133,7 @@
         Self {
             slots,
             limit: f64::from(slots),
+            slowdown: 1.0,
             phase: Phase::Following { full_since: None },
             step: vec![LatencySample::default(); ranks],
             step_start: now,
@@ -162,6 +170,12 @@
             return;
         }
         let is_failing = self.is_failing();
+        if self.limit < 2.0 {
+            // Requests that run alone do not slow each other down; their latency is the baseline,
+            // whatever it was before.
+            self.baselines.fill(Baseline::default());
+            self.slowdown = 1.0;
+        }
         if !is_failing {
             self.record_baselines(now);
         }
@@ -179,17 +193,26 @@
     }
 
     /// The limit after a step without many errors.
-    fn follow(&self, is_full: bool) -> f64 {
+    fn follow(&mut self, is_full: bool) -> f64 {
+        self.slowdown += (self.step_slowdown() - self.slowdown) * STEP_WEIGHT;
         // A limit that is not in use has no part in the latency.
         if !is_full {
             return self.limit;
         }
+        let is_above = self.limit >= f64::from(self.slots);
         let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
-        let tolerance = TOLERANCE + NOISE / (finished as f64).sqrt();
-        let gradient = (tolerance / self.slowdown()).clamp(LEAST_GRADIENT, 1.0);
-        match gradient < 1.0 {
-            true => self.limit * gradient,
-            false => self.limit + (self.limit.sqrt() / 2.0).max(1.0),
+        let noise = NOISE / (finished as f64).sqrt();
+        let tolerance = noise
+            + if is_above {
+                TOLERANCE_ABOVE_SLOTS
+            } else {
+                TOLERANCE
+            };
+        let gradient = (tolerance / self.slowdown).clamp(LEAST_GRADIENT, 1.0);
+        match (gradient < 1.0, is_above) {
+            (true, _) => self.limit * gradient,
+            (false, true) => self.limit + GROWTH_ABOVE_SLOTS,
+            (false, false) => self.limit + (self.limit.sqrt() / 2.0).max(1.0),
         }
     }
 
@@ -222,16 +245,17 @@
     }
 
     /// Latency over the lowest recent latency of the same ranks.
-    fn slowdown(&self) -> f64 {
-        let expected: f64 = self
-            .step
-            .iter()
-            .zip(&self.baselines)
-            .map(|(sum, baseline)| sum.finished as f64 * baseline.lowest().unwrap_or(0.0))
-            .sum();
-        let observed: u64 = self.step.iter().map(|sum| sum.latency_sum_us).sum();
+    fn step_slowdown(&self) -> f64 {
+        let (mut observed, mut expected) = (0.0, 0.0);
+        for (sum, baseline) in self.step.iter().zip(&self.baselines) {
+            let Some(lowest) = baseline.lowest() else {
+                continue;
+            };
+            observed += sum.latency_sum_us as f64;
+            expected += sum.finished as f64 * lowest;
+        }
         match expected > 0.0 {
-            true => observed as f64 / expected,
+            true => observed / expected,
             false => 1.0,
         }
     }
