Advise refused callers by the rate at which requests are served

Cause: the advice took the admissions of the last second as the rate, of which there are few when a crowd has just come, and spread the crowd over 10 s. Change: the rate is at least the limit over the observed service time, and the crowd is spread over 1.2 times the time that it needs.

--- a/crates/lavenderhatch-bench/src/bin/ranks/crowd.rs
+++ b/crates/lavenderhatch-bench/src/bin/ranks/crowd.rs
@@ -78,7 +78,7 @@
             None => {
                 refused.push(now);
                 refusals[caller] += 1;
-                let delay = delay_ms(advice, refusals[caller], &served, &refused, &mut rng, now);
+                let delay = delay_ms(advice, refusals[caller], &refused, &mut rng, now);
                 asks.push(Reverse((now + delay.max(1) * 1000, caller)));
             }
         }
@@ -97,23 +97,15 @@
     }
 }
 
-fn delay_ms(
-    advice: Advice,
-    refusals: u32,
-    served: &[u64],
-    refused: &[u64],
-    rng: &mut Pcg64Mcg,
-    now: u64,
-) -> u64 {
+fn delay_ms(advice: Advice, refusals: u32, refused: &[u64], rng: &mut Pcg64Mcg, now: u64) -> u64 {
     let random = rng.next_u64();
     match advice {
         Advice::Own(backoff) => backoff.delay_ms(refusals, BASE_MS, CAP_MS, random),
         Advice::Daemon => {
             let since = now.saturating_sub(SECOND_US);
             let refused = refused.len() - refused.partition_point(|at| *at < since);
-            let recent = |at: &&u64| **at >= since && **at <= now + SECOND_US;
-            let admitted = served.iter().rev().take(4000).filter(recent).count();
-            advise_delay(refused as u32, admitted as u32, random)
+            let served = f64::from(SLOTS) * 1e6 / SERVICE_US;
+            advise_delay(refused as u32, served as u32, random)
         }
     }
 }
--- a/crates/lavenderhatch-bench/src/bin/ranks/model.rs
+++ b/crates/lavenderhatch-bench/src/bin/ranks/model.rs
@@ -12,7 +12,7 @@
 use crate::admission::{Admission, CallNumber, Variant};
 use crate::caller::{Caller, ZONES};
 use crate::outcome::Outcome;
-use crate::scenario::{Fault, RANKS, SERVERS, SERVICE_US, Scenario};
+use crate::scenario::{Fault, RANKS, SERVERS, SERVICE_US, SLOTS, Scenario};
 use crate::server::{Running, Server};
 
 const SECOND_US: u64 = 1_000_000;
@@ -90,7 +90,11 @@
         rng: Pcg64Mcg,
         seconds: u64,
     ) -> eyre::Result<Self> {
-        let server = || Server::new(Admission::new(variant, table), table.ranks().len());
+        let slots = match scenario.fault {
+            Fault::HalfSlots => SLOTS / 2,
+            _ => SLOTS,
+        };
+        let server = || Server::new(Admission::new(variant, table), slots, table.ranks().len());
         let callers: eyre::Result<Vec<Caller>> = (0..ZONES).map(Caller::new).collect();
         let warm_up_us = 2 * SECOND_US;
         let mut model = Self {
@@ -119,7 +123,7 @@
         self.at(TICK_US, Event::Tick);
         self.at(SECOND_US, Event::Heartbeat);
         self.at(DETECTION_US, Event::Weights);
-        if self.scenario.fault != Fault::None {
+        if matches!(self.scenario.fault, Fault::Lost | Fault::Cold) {
             self.at(self.warm_up_us + SECOND_US, Event::Fail);
         }
         if self.scenario.fault == Fault::Cold {
--- a/crates/lavenderhatch-bench/src/bin/ranks/scenario.rs
+++ b/crates/lavenderhatch-bench/src/bin/ranks/scenario.rs
@@ -78,16 +78,19 @@
     Lost,
     /// A backend server is lost and comes back after a second with a cold start.
     Cold,
+    /// The back ends have half of the slots that are described.
+    HalfSlots,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Fault; 3] = [Fault::None, Fault::Lost, Fault::Cold];
+    pub(crate) const ALL: [Fault; 4] = [Fault::None, Fault::Lost, Fault::Cold, Fault::HalfSlots];
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Fault::None => "none",
             Fault::Lost => "server lost",
             Fault::Cold => "cold start",
+            Fault::HalfSlots => "half the slots",
         }
     }
 }
--- a/crates/lavenderhatch-bench/src/bin/ranks/server.rs
+++ b/crates/lavenderhatch-bench/src/bin/ranks/server.rs
@@ -6,7 +6,6 @@
 use lavenderhatch_decide::ranks::LatencySample;
 
 use crate::admission::{Admission, CallNumber};
-use crate::scenario::SLOTS;
 
 /// Requests after a restart that take longer.
 const COLD_REQUESTS: u32 = 300;
@@ -31,19 +30,22 @@
     pub(crate) in_flight: Vec<Running>,
     /// Passed the gate while all slots were taken.
     pub(crate) backlog: VecDeque<Running>,
+    /// Slots that the back end really has.
+    slots: u32,
     busy: u32,
     cold_left: u32,
     samples: Vec<LatencySample>,
 }
 
 impl Server {
-    pub(crate) fn new(admission: Admission, ranks: usize) -> Self {
+    pub(crate) fn new(admission: Admission, slots: u32, ranks: usize) -> Self {
         Self {
             admission,
             is_up: true,
             epoch: 0,
             in_flight: Vec::new(),
             backlog: VecDeque::new(),
+            slots,
             busy: 0,
             cold_left: 0,
             samples: vec![LatencySample::default(); ranks],
@@ -57,7 +59,7 @@
     /// Takes a request that has passed the gate. Returns it if a slot of the back end is free.
     pub(crate) fn admit(&mut self, running: Running) -> Option<Running> {
         self.in_flight.push(running);
-        if self.busy == SLOTS {
+        if self.busy == self.slots {
             self.backlog.push_back(running);
             return None;
         }
--- a/crates/lavenderhatch-core/src/load.rs
+++ b/crates/lavenderhatch-core/src/load.rs
@@ -33,9 +33,10 @@
     /// Requests refused in the last second.
     #[serde(default)]
     pub refused_per_s: u32,
-    /// Requests admitted in the last second.
+    /// Requests that can be served in a second: those admitted in the last one, or more by the
+    /// observed service times.
     #[serde(default)]
-    pub admitted_per_s: u32,
+    pub served_per_s: u32,
     /// Counters that the request path writes.
     #[serde(skip)]
     pub counters: SharedCounters,
--- a/crates/lavenderhatch-daemon/src/controller/load/state.rs
+++ b/crates/lavenderhatch-daemon/src/controller/load/state.rs
@@ -213,7 +213,7 @@
                 .map(load)
                 .collect(),
             refused_per_s: self.meter.refused(),
-            admitted_per_s: self.meter.admitted(),
+            served_per_s: self.meter.admitted().max(self.queue.served_per_s()),
             counters: self.shared_counters(),
         }
     }
--- a/crates/lavenderhatch-daemon/src/request/route.rs
+++ b/crates/lavenderhatch-daemon/src/request/route.rs
@@ -71,7 +71,7 @@
         answer.retry_after_ms = err.retry_after_ms();
         if answer.retry_after_ms.is_none() && err.kind().answer().retry.has_delay() {
             let load = self.board.load.load();
-            let delay = advise_delay(load.refused_per_s, load.admitted_per_s, random);
+            let delay = advise_delay(load.refused_per_s, load.served_per_s, random);
             answer.retry_after_ms = Some(delay);
         }
         answer
--- a/crates/lavenderhatch-decide/src/ranks/advice.rs
+++ b/crates/lavenderhatch-decide/src/ranks/advice.rs
@@ -2,16 +2,19 @@
 
 /// Shortest mean delay, in milliseconds.
 const MIN_DELAY_MS: u64 = 50;
+/// Time over which a crowd is spread, over the time that it needs, in percent.
+const SPREAD_PERCENT: u64 = 120;
 /// Longest delay, in milliseconds.
 const MAX_DELAY_MS: u64 = 10_000;
 
 /// Advises a delay in milliseconds to one refused caller.
 ///
-/// The delay is spread over the time that the crowd refused in the last second needs at the rate of
-/// the requests admitted in it. `random` is a uniformly distributed number.
-pub fn advise_delay(refused_per_s: u32, admitted_per_s: u32, random: u64) -> u64 {
-    let crowd_ms = u64::from(refused_per_s) * 1000 / u64::from(admitted_per_s.max(1));
-    let span = (2 * crowd_ms).clamp(2 * MIN_DELAY_MS, MAX_DELAY_MS);
+/// Delays are spread over the time that the crowd refused in the last second needs at the rate at
+/// which requests are served, and a little more, so that few of them are refused again. `random` is
+/// a uniformly distributed number.
+pub fn advise_delay(refused_per_s: u32, served_per_s: u32, random: u64) -> u64 {
+    let crowd_ms = u64::from(refused_per_s) * 1000 / u64::from(served_per_s.max(1));
+    let span = (crowd_ms * SPREAD_PERCENT / 100).clamp(2 * MIN_DELAY_MS, MAX_DELAY_MS);
     1 + random % span
 }
 
--- a/crates/lavenderhatch-decide/src/ranks/queue.rs
+++ b/crates/lavenderhatch-decide/src/ranks/queue.rs
@@ -105,6 +105,15 @@
         self.service.record(rank, count, sum_us);
     }
 
+    /// Requests that can be served in a second, zero while no service time is known.
+    pub fn served_per_s(&self) -> u32 {
+        let service_us = self.service.overall();
+        match service_us > 0.0 {
+            true => (f64::from(self.limit) * 1e6 / service_us) as u32,
+            false => 0,
+        }
+    }
+
     /// Queues a request, or refuses it at once if it cannot be served in time.
     pub fn offer(&mut self, req: Request<T>, now: Timestamp) {
         self.window.advance(now);
--- a/crates/lavenderhatch-decide/src/ranks/service_time.rs
+++ b/crates/lavenderhatch-decide/src/ranks/service_time.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Estimate for requests of all ranks, in microseconds.
+    pub(super) fn overall(&self) -> f64 {
+        self.overall
+    }
+
     /// Estimate for one rank, in microseconds.
     pub(super) fn of(&self, rank: usize) -> f64 {
         match self.by_rank[rank] == 0.0 {
