Probe half of the limit and take its latency as the baseline

Cause: a back end with half of its described slots was never seen at a concurrency at which it does not queue, so its limit stayed at the description. Change: a probe halves the limit for some 200 samples, after one second of full use and then every 20 s, and replaces the baseline.

--- a/crates/lavenderhatch-decide/src/ranks/limit.rs
+++ b/crates/lavenderhatch-decide/src/ranks/limit.rs
@@ -30,11 +30,17 @@
 /// Longest step.
 const MAX_STEP: Duration = Duration::from_secs(1);
 /// Age at which a mean latency no longer counts as recent.
-const BASELINE_AGE: Duration = Duration::from_secs(20);
-/// Time for which the limit may be in full use before a lower limit is probed.
-const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+const BASELINE_AGE: Duration = Duration::from_secs(40);
+/// Time for which the limit is in full use before a lower limit is probed for the first time.
+const FIRST_PROBE: Duration = Duration::from_secs(1);
+/// The same for later probes. A probe leaves half of the slots unused for some 200 samples.
+const PROBE_INTERVAL: Duration = Duration::from_secs(20);
 /// Part of the limit that is probed.
-const PROBE_PART: f64 = 0.7;
+const PROBE_PART: f64 = 0.5;
+/// Samples of a probe.
+const PROBE_SAMPLES: u64 = 200;
+/// Samples of a rank in a probe that make its baseline.
+const PROBE_RANK_SAMPLES: u64 = 50;
 /// Part of the limit whose use counts as full.
 const FULL_USE: f64 = 0.9;
 
@@ -93,6 +99,17 @@
         }
     }
 
+    /// Takes the latency at a lower limit as the lowest.
+    fn replace(&mut self, probe: &LatencySample, now: Timestamp) {
+        let mean = probe.mean_us();
+        let Some(mean) = mean.filter(|_| probe.finished >= PROBE_RANK_SAMPLES) else {
+            return;
+        };
+        self.sum = LatencySample::default();
+        self.means.clear();
+        self.means.push_back((now, mean));
+    }
+
     fn lowest(&self) -> Option<f64> {
         self.means.front().map(|(_, mean)| *mean)
     }
@@ -121,6 +138,8 @@
     /// Smoothed latency over the lowest recent latency.
     slowdown: f64,
     phase: Phase,
+    /// Time in full use after which a lower limit is probed.
+    probe_after: Duration,
     step: Vec<LatencySample>,
     step_start: Timestamp,
     baselines: Vec<Baseline>,
@@ -135,6 +154,7 @@
             limit: f64::from(slots),
             slowdown: 1.0,
             phase: Phase::Following { full_since: None },
+            probe_after: FIRST_PROBE,
             step: vec![LatencySample::default(); ranks],
             step_start: now,
             baselines: vec![Baseline::default(); ranks],
@@ -156,7 +176,11 @@
         sums.for_each(|(sum, sample)| sum.add(sample));
         let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
         let is_full = f64::from(in_flight) >= f64::from(self.limit()) * FULL_USE;
-        if finished < STEP_SAMPLES && (finished == 0 || now.since(self.step_start) < MAX_STEP) {
+        let wanted = match self.phase {
+            Phase::Probing => PROBE_SAMPLES,
+            _ => STEP_SAMPLES,
+        };
+        if finished < wanted && (finished == 0 || now.since(self.step_start) < MAX_STEP) {
             return;
         }
         self.end_step(is_full, now);
@@ -176,13 +200,13 @@
             self.baselines.fill(Baseline::default());
             self.slowdown = 1.0;
         }
-        if !is_failing {
-            self.record_baselines(now);
-        }
         if self.phase == Phase::Probing {
-            self.phase = Phase::Following { full_since: None };
+            self.end_probe(is_failing, now);
             return;
         }
+        if !is_failing {
+            self.record_baselines(now);
+        }
         self.limit = match is_failing {
             true => self.limit * ERROR_CUT,
             false => self.follow(is_full),
@@ -227,11 +251,20 @@
             return;
         }
         let since = *full_since.get_or_insert(now);
-        if now.since(since) >= PROBE_INTERVAL && self.limit >= 2.0 {
+        if now.since(since) >= self.probe_after && self.limit >= 2.0 {
             self.phase = Phase::Settling;
         }
     }
 
+    fn end_probe(&mut self, is_failing: bool, now: Timestamp) {
+        self.phase = Phase::Following { full_since: None };
+        self.probe_after = PROBE_INTERVAL;
+        if !is_failing {
+            let baselines = self.baselines.iter_mut().zip(&self.step);
+            baselines.for_each(|(baseline, sum)| baseline.replace(sum, now));
+        }
+    }
+
     fn is_failing(&self) -> bool {
         let finished: u64 = self.step.iter().map(|sum| sum.finished).sum();
         let failed: u64 = self.step.iter().map(|sum| sum.failed).sum();
