--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -3,9 +3,13 @@
 #![allow(clippy::unwrap_used)]
 
 mod distribution;
+mod choose;
 mod endpoints;
+mod limit;
 mod member_fixture;
 mod membership;
 mod orders;
+mod queue;
+mod retry;
 mod stops;
 mod support;
