Test service by rank with real daemons

Cause: the order of the queue was only tested without processes. Change: a flood of the least urgent rank against a back end with four slow slots, entering directly and through a peer; urgent calls are answered within their target, and calls that cannot meet their deadline are refused as not run and never reach the back end.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod distribution;
 mod endpoints;
 mod orders;
+mod ranks;
 mod stops;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/ranks.rs
@@ -0,0 +1,112 @@
+//! Service by rank while a flood comes in.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lavenderhatch_standin::Behaviour;
+use rstest::rstest;
+
+use crate::support::{Cluster, poll};
+
+const TARGET: Duration = Duration::from_millis(500);
+const SLOTS: u32 = 4;
+const SERVICE_MS: u64 = 50;
+/// Callers of the flood. First come first served, they would keep each call waiting for
+/// 80 / 4 x 50 ms = 1 s, twice the target.
+const FLOOD: usize = 80;
+const URGENT_CALLS: usize = 20;
+const MESH: &str = r#"{
+  "ranks": { "urgent": { "target_ms": 500, "worth": 100, "share": 0.4 },
+             "background": { "target_ms": 10000, "worth": 1, "share": 0.1 } },
+  "services": { "orders": { "slots": 4 }, "catalogue": { "slots": 4 } },
+  "routes": {
+    "order-status": { "path": "/status", "service": "catalogue", "rank": "urgent",
+                      "timeout_ms": 5000, "idempotent": true },
+    "archive": { "path": "/archive", "service": "catalogue", "rank": "background",
+                 "timeout_ms": 20000, "idempotent": true },
+  },
+}"#;
+
+/// Node 0 hands calls to node 1, whose back end runs them in a few slow slots.
+fn slow_cluster() -> Cluster {
+    let cluster = Cluster::start(&["orders", "catalogue"]);
+    cluster.nodes[1].backend.set_behaviour(Behaviour {
+        slots: SLOTS,
+        service_ms: SERVICE_MS,
+        ..Behaviour::default()
+    });
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    cluster
+}
+
+/// Runs `check` while callers of the least urgent rank keep the queue of node 1 full.
+fn during_flood(cluster: &Cluster, entry: usize, check: impl FnOnce()) {
+    let is_over = AtomicBool::new(false);
+    let url = format!("http://{}/archive", cluster.nodes[entry].caller_addr);
+    thread::scope(|scope| {
+        for _ in 0..FLOOD {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    let _ = ureq::get(&url).call();
+                }
+            });
+        }
+        poll(Duration::from_secs(10), "a full queue", || {
+            let status = cluster.nodes[1].status()?;
+            let queued = status["load"]["ranks"]["background"]["queued"].as_u64()?;
+            (queued > FLOOD as u64 / 2).then_some(())
+        });
+        check();
+        is_over.store(true, Ordering::Relaxed);
+    });
+}
+
+/// Guards against urgent calls that wait behind a flood of the least urgent rank, where calls enter
+/// at the daemon beside the back end and where a peer hands them over.
+#[rstest]
+#[case::handed_over(0)]
+#[case::direct(1)]
+fn flood_of_the_least_urgent_rank_leaves_urgent_calls_served(#[case] entry: usize) {
+    let cluster = slow_cluster();
+    during_flood(&cluster, entry, || {
+        let url = format!("http://{}/status/7", cluster.nodes[entry].caller_addr);
+        for _ in 0..URGENT_CALLS {
+            let start = Instant::now();
+            let res = ureq::get(&url).call().unwrap();
+            assert_eq!(res.headers()["lavenderhatch-outcome"], "ran");
+            assert!(start.elapsed() < TARGET, "{:?}", start.elapsed());
+        }
+    });
+}
+
+/// Guards against a late refusal of a call that cannot meet its deadline, and against a call that
+/// runs although its caller was told "not run" (P5).
+#[rstest]
+#[case::handed_over(0)]
+#[case::direct(1)]
+fn call_that_cannot_meet_its_deadline_is_refused_at_once_and_never_runs(#[case] entry: usize) {
+    let cluster = slow_cluster();
+    let agent = ureq::Agent::config_builder().http_status_as_error(false);
+    let agent: ureq::Agent = agent.build().into();
+    let left = Duration::from_millis(SERVICE_MS - 10);
+    during_flood(&cluster, entry, || {
+        let url = format!("http://{}/archive", cluster.nodes[entry].caller_addr);
+        for n in 0..URGENT_CALLS {
+            let req = agent
+                .get(&url)
+                .header("lavenderhatch-deadline-ms", left.as_millis().to_string())
+                .header("idempotency-key", format!("late-{n}"));
+            let res = req.call().unwrap();
+            let header = |name: &str| res.headers()[name].to_str().unwrap().to_owned();
+            assert_eq!(header("lavenderhatch-error"), "deadline-unmeetable");
+            assert_eq!(header("lavenderhatch-outcome"), "not-run");
+            assert_eq!(header("lavenderhatch-retry"), "exhausted");
+            let advice: u64 = header("lavenderhatch-retry-after-ms").parse().unwrap();
+            assert!((1..=10_000).contains(&advice));
+        }
+    });
+    let late = cluster.nodes[1].backend.counts().by_key;
+    assert!(late.is_empty(), "{late:?}");
+}
