Give the zone to the choice in the tests of endpoints

Cause: the choice of backend server takes the caller's zone. Change: the tests pass the zone of the members; what they require is unchanged.

--- a/crates/lavenderhatch-decide/tests/testsuite/endpoints.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/endpoints.rs
@@ -5,7 +5,7 @@
 use lavenderhatch_core::drain::{Drains, StopPhase, StopStatus};
 use lavenderhatch_core::endpoint::{Endpoint, Endpoints};
 use lavenderhatch_core::member::Members;
-use lavenderhatch_core::{ErrorKind, MemberState, NodeId, StopName, Timestamp};
+use lavenderhatch_core::{ErrorKind, MemberState, NodeId, StopName, Timestamp, Zone};
 use lavenderhatch_decide::endpoints::{
     Ejection, EndpointTracker, counts_as_failure, slow_start_weight,
 };
@@ -170,6 +170,11 @@
     assert_eq!(counts_as_failure(status, error), is_failure);
 }
 
+/// The zone of the members.
+fn zone() -> Zone {
+    Zone::new("zone-a").unwrap()
+}
+
 /// Guards against a service that vanishes because its members look dead: they stay as a last
 /// resort, which is chosen only without another.
 #[rstest]
@@ -188,7 +193,7 @@
         all.first().map(|endpoint| endpoint.is_last_resort),
         is_last_resort
     );
-    let chosen = choose(all, &[], u64::MAX);
+    let chosen = choose(all, &[], &zone(), u64::MAX);
     assert_eq!(chosen, is_last_resort.map(|_| 0));
 }
 
@@ -216,7 +221,7 @@
     let endpoints = tracker.derive(&members, &drains, at(1));
     let all = endpoints.of("orders");
     assert_eq!(all[0].is_last_resort, is_last_resort);
-    let picks = (0..64).map(|n| choose(all, &[], n * 0x1234_5678_9abc).unwrap());
+    let picks = (0..64).map(|n| choose(all, &[], &zone(), n * 0x1234_5678_9abc).unwrap());
     assert_eq!(picks.filter(|at| *at == 0).count() == 0, is_last_resort);
-    assert_eq!(choose(all, &[1], 7), Some(0));
+    assert_eq!(choose(all, &[1], &zone(), 7), Some(0));
 }
