Draw both candidates of the choice independently

Cause: failing_server_that_claims_health_is_ejected waited 15 s in vain, for two reasons. Its calls entered in the other zone, from which nothing reaches the failing server while calls stay in their zone. In its own zone, two candidates that always differ sent each call of a light load to the server with the slightly greater weight, so nothing was learned of the other one.

--- a/crates/lavenderhatch-decide/src/routing/choose.rs
+++ b/crates/lavenderhatch-decide/src/routing/choose.rs
@@ -51,14 +51,10 @@
     if count == 0 {
         return None;
     }
-    let first = random as u32 as usize % count;
-    // The second candidate differs from the first where there are two.
-    let step = 1 + (random >> 32) as usize % (count - 1).max(1);
-    let first = candidates().nth(first)?;
-    let second = candidates()
-        .cycle()
-        .skip_while(|at| *at != first)
-        .nth(step)?;
+    // Both may be the same. Two that always differ would send each call of a light load to the one
+    // with the slightly greater weight, and nothing would be learned of the others.
+    let first = candidates().nth(random as u32 as usize % count)?;
+    let second = candidates().nth((random >> 32) as usize % count)?;
     match cost(&endpoints[second]) < cost(&endpoints[first]) {
         true => Some(second),
         false => Some(first),
