Split large sets into content-addressed parts

A set above 900 KB exceeds what one platform value holds. Its canonical encoding is split into parts named by their digests, written before the root object and checked on reading. The root object lists parts without a reference with the time at which they were first seen so; an apply removes them after an hour, by conditional deletes, and each apply writes its own parts anew, so that a slow operator cannot remove a part that another one has just reused. The root object also lists the last 32 acceptances for the audit trail. Not measured yet.

--- a/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
+++ b/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
@@ -4,8 +4,9 @@
 
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded};
 use eyre::Result;
-use lavenderhatch_decide::acceptance::{ROOT_NAME, RootContent, RootObject};
+use lavenderhatch_decide::acceptance::{ROOT_NAME, RootObject};
 use lavenderhatch_decide::message::Whole;
+use lavenderhatch_platform::accept::read_content;
 use lavenderhatch_platform::{Object, Platform, PlatformError};
 use tracing::{info, warn};
 
@@ -88,24 +89,6 @@
     Ok(())
 }
 
-fn read_content<P: Platform>(
-    platform: &P,
-    content: &RootContent,
-) -> Result<Vec<u8>, PlatformError> {
-    let digests = match content {
-        RootContent::Inline(parts) => return Ok(parts.to_canonical()),
-        RootContent::Parts(digests) => digests,
-    };
-    let mut mesh = Vec::new();
-    for digest in digests {
-        let name = format!("{}{digest}", lavenderhatch_decide::acceptance::PART_PREFIX);
-        let part = platform.get(&name)?;
-        let part = part.ok_or_else(|| PlatformError::BadAnswer(format!("{name} is missing")))?;
-        mesh.extend_from_slice(&part.value);
-    }
-    Ok(mesh)
-}
-
 /// The queue of what the reader reports.
 pub(crate) fn news_channel() -> (Sender<RootNews>, Receiver<RootNews>) {
     bounded(16)
--- a/crates/lavenderhatch-decide/src/acceptance/plan.rs
+++ b/crates/lavenderhatch-decide/src/acceptance/plan.rs
@@ -2,7 +2,13 @@
 
 use lavenderhatch_core::{Error, ErrorKind, Mesh, Timestamp, Version};
 
-use super::root::{RootContent, RootObject};
+use super::parts::split_parts;
+use super::root::{Acceptance, MAX_RECENT, MAX_RECENT_REASON_BYTES, RootContent, RootObject};
+
+/// Longest name of an author, in bytes.
+const MAX_AUTHOR_BYTES: usize = 200;
+/// Longest reason, in bytes.
+const MAX_REASON_BYTES: usize = 4096;
 
 /// What became of a write whose answer was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +35,8 @@
         let message = format!("version {} already holds the same files", version.0 - 1);
         return Err(Error::new(ErrorKind::Conflict, message));
     }
+    check_length("author", author, MAX_AUTHOR_BYTES)?;
+    check_length("reason", reason, MAX_REASON_BYTES)?;
     Ok(RootObject {
         version,
         digest: mesh.digest(),
@@ -36,10 +44,40 @@
         nonce: nonce.to_owned(),
         at: now,
         reason: reason.to_owned(),
-        content: RootContent::Inline(Box::new(mesh.parts().clone())),
+        content: content_of(mesh),
+        retired: Vec::new(),
+        recent: current.map_or_else(Vec::new, recent_after),
     })
 }
 
+fn check_length(what: &str, text: &str, max: usize) -> Result<(), Error> {
+    if text.len() <= max {
+        return Ok(());
+    }
+    let message = format!(
+        "the {what} has {} bytes, at most {max} are kept",
+        text.len()
+    );
+    Err(Error::new(ErrorKind::TooLarge, message))
+}
+
+fn content_of(mesh: &Mesh) -> RootContent {
+    let canonical = mesh.parts().to_canonical();
+    let parts = split_parts(&canonical);
+    match parts.is_empty() {
+        true => RootContent::Inline(Box::new(mesh.parts().clone())),
+        false => RootContent::Parts(parts.iter().map(|part| part.digest).collect()),
+    }
+}
+
+/// The earlier acceptances that the successor of `current` lists.
+fn recent_after(current: &RootObject) -> Vec<Acceptance> {
+    let mut recent = current.recent.clone();
+    recent.push(current.acceptance(MAX_RECENT_REASON_BYTES));
+    let surplus = recent.len().saturating_sub(MAX_RECENT);
+    recent.split_off(surplus)
+}
+
 /// Decides from the root object that was read back whether `sent` took effect.
 ///
 /// `base` is the version on which `sent` was built. A write that took effect and was then replaced
--- a/crates/lavenderhatch-platform/src/accept.rs
+++ b/crates/lavenderhatch-platform/src/accept.rs
@@ -1,9 +1,13 @@
 //! Has a set of files accepted: one conditional write of the root object.
 
+mod parts;
+
+use lavenderhatch_core::mesh::MeshParts;
 use lavenderhatch_core::{Error, ErrorKind, Mesh, Timestamp, Version};
 use lavenderhatch_decide::acceptance::{
     AfterWrite, ROOT_NAME, RootObject, next_root, resolve_lost_answer,
 };
+pub use parts::read_content;
 
 use crate::error::PlatformError;
 use crate::object::Expected;
@@ -39,6 +43,25 @@
     Ok(Some((root, object.version)))
 }
 
+/// Reads the accepted mesh with its root object.
+pub fn read_accepted<P: Platform>(platform: &P) -> Result<Option<(RootObject, Mesh)>, Error> {
+    let Some((root, _)) = read_root(platform)? else {
+        return Ok(None);
+    };
+    let unreadable = |what: String| Error::new(ErrorKind::Internal, what);
+    let canonical = read_content(platform, &root.content)?;
+    let parts = MeshParts::from_canonical(&canonical)
+        .map_err(|err| unreadable(format!("version {} cannot be read: {err}", root.version)))?;
+    let mesh = Mesh::check(parts).map_err(|faults| {
+        unreadable(format!(
+            "version {} has {} faults",
+            root.version,
+            faults.len()
+        ))
+    })?;
+    Ok(Some((root, mesh)))
+}
+
 /// Has a proposal accepted and returns its version.
 ///
 /// # Errors
@@ -52,7 +75,7 @@
 ) -> Result<Version, Error> {
     let current = read_root(platform)?;
     let base = current.as_ref().map(|(root, _)| root);
-    let root = next_root(
+    let mut root = next_root(
         base,
         proposal.mesh,
         proposal.author,
@@ -61,20 +84,36 @@
         now,
     )?;
     let base_version = base.map_or(Version::NONE, |root| root.version);
+    let present = parts::list_parts(platform)?;
+    parts::write_parts(platform, proposal.mesh, root.part_digests(), &present)?;
+    let removable = parts::retire(base, &mut root, &present, now);
     let expected = current
         .as_ref()
         .map_or(Expected::Absent, |(_, version)| Expected::Version(*version));
     let value = serde_json::to_vec(&root)
         .map_err(|err| Error::new(ErrorKind::Internal, err.to_string()))?;
+    write_root(platform, &root, &value, expected, base_version)?;
+    parts::remove(platform, &removable);
+    Ok(root.version)
+}
+
+/// Writes the root object, and reads it back where the answer does not say what became of it.
+fn write_root<P: Platform>(
+    platform: &P,
+    root: &RootObject,
+    value: &[u8],
+    expected: Expected,
+    base: Version,
+) -> Result<Version, Error> {
     for _ in 0..MAX_WRITES {
-        match platform.put(ROOT_NAME, &value, expected) {
+        match platform.put(ROOT_NAME, value, expected) {
             Ok(_) => return Ok(root.version),
             Err(err) if is_settled(&err) => return Err(err.into()),
             Err(_) => {}
         }
         let read_back = read_root(platform)?;
         let read_back = read_back.as_ref().map(|(root, _)| root);
-        match resolve_lost_answer(&root, base_version, read_back) {
+        match resolve_lost_answer(root, base, read_back) {
             AfterWrite::Accepted(version) => return Ok(version),
             AfterWrite::Lost(version) => {
                 let message = format!("version {version} was accepted first");
