Add metrics, the lasting audit trail and explanations to the daemon

Operators had neither metrics nor a trail that outlives a daemon, and no way to ask why a call went where it went. No cost was measured yet.

--- a/crates/lavenderhatch-core/src/audit.rs
+++ b/crates/lavenderhatch-core/src/audit.rs
@@ -1,11 +1,13 @@
 //! The `audit` section: what this daemon did and why.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{Timestamp, Version};
 
 /// What happened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AuditAction {
     /// A set of files was accepted.
@@ -26,6 +28,22 @@
     MemberChanged,
 }
 
+impl AuditAction {
+    /// The action as text, as in JSON.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AuditAction::Accepted => "accepted",
+            AuditAction::Rejected => "rejected",
+            AuditAction::VersionSwitched => "version-switched",
+            AuditAction::UpdateRefused => "update-refused",
+            AuditAction::StopChanged => "stop-changed",
+            AuditAction::RangeTakenOver => "range-taken-over",
+            AuditAction::EndpointEjected => "endpoint-ejected",
+            AuditAction::MemberChanged => "member-changed",
+        }
+    }
+}
+
 /// One event of the audit trail.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AuditEvent {
@@ -55,6 +73,9 @@
     pub events: Vec<AuditEvent>,
     /// Events that were dropped because the section was full.
     pub dropped: u64,
+    /// Events by action since the start, dropped ones included.
+    #[serde(default)]
+    pub totals: BTreeMap<AuditAction, u64>,
 }
 
 impl AuditLog {
@@ -64,6 +85,21 @@
             self.events.remove(0);
             self.dropped += 1;
         }
+        *self.totals.entry(event.action).or_default() += 1;
         self.events.push(event);
     }
+
+    /// Events since the start. The last `count() - seen` events are those after an earlier count.
+    pub fn count(&self) -> u64 {
+        self.totals.values().sum()
+    }
+
+    /// The kept events after the first `seen` ones since the start.
+    pub fn after(&self, seen: u64) -> &[AuditEvent] {
+        let fresh = self
+            .count()
+            .saturating_sub(seen)
+            .min(self.events.len() as u64);
+        &self.events[self.events.len() - fresh as usize..]
+    }
 }
--- a/crates/lavenderhatch-daemon/src/admin/port.rs
+++ b/crates/lavenderhatch-daemon/src/admin/port.rs
@@ -5,21 +5,25 @@
 //! | `GET /status` | [`DaemonStatus`] as JSON |
 //! | `GET /config` | version and mesh in force as JSON, 503 if there is none |
 //! | `GET /audit` | recent audit events of this daemon as JSON |
+//! | `GET /explain/route/NAME` | why the calls of a route go where they go, as JSON |
+//! | `GET /explain/call/ID` | why a recent call was answered as it was, as JSON |
 //! | `GET /metrics` | metrics in the text format of Prometheus |
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use lavenderhatch_core::NodeId;
 use lavenderhatch_core::audit::AuditLog;
 use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_decide::explain::{explain_call, explain_route};
 use oxhttp::model::{Body, HeaderValue, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
-use prometheus::{Registry, TextEncoder};
 use serde::Serialize;
 
 use super::status::DaemonStatus;
+use crate::metrics::Telemetry;
 
 /// Most connections at the same time.
 const MAX_CONNECTIONS: usize = 32;
@@ -38,9 +42,9 @@
         addr: SocketAddr,
         node: NodeId,
         board: Blackboard,
-        registry: Registry,
+        telemetry: Arc<Telemetry>,
     ) -> Result<Self> {
-        let server = Server::new(move |req| answer(req, &node, &board, &registry))
+        let server = Server::new(move |req| answer(req, &node, &board, &telemetry))
             .bind(addr)
             .with_global_timeout(IDLE_TIMEOUT)
             .with_max_concurrent_connections(MAX_CONNECTIONS);
@@ -57,13 +61,20 @@
     req: &Request<Body>,
     node: &NodeId,
     board: &Blackboard,
-    registry: &Registry,
+    telemetry: &Telemetry,
 ) -> Response<Body> {
-    match (req.method().as_str(), req.uri().path()) {
-        ("GET", "/status") => json(&DaemonStatus::from_board(node, board)),
+    let path = req.uri().path();
+    if let ("GET", Some(object)) = (req.method().as_str(), path.strip_prefix("/explain/")) {
+        return explain(object, board, telemetry);
+    }
+    match (req.method().as_str(), path) {
+        ("GET", "/status") => {
+            let platform = telemetry.platform.status();
+            json(&DaemonStatus::from_board(node, board, platform))
+        }
         ("GET", "/config") => config(board),
         ("GET", "/audit") => json(&AuditLog::clone(&board.audit.load())),
-        ("GET", "/metrics") => metrics(registry),
+        ("GET", "/metrics") => metrics(board, telemetry),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
@@ -80,8 +91,26 @@
     }))
 }
 
-fn metrics(registry: &Registry) -> Response<Body> {
-    match TextEncoder::new().encode_to_string(&registry.gather()) {
+fn explain(object: &str, board: &Blackboard, telemetry: &Telemetry) -> Response<Body> {
+    let config = board.config.load();
+    let config = config.as_ref().as_ref();
+    let endpoints = board.endpoints.load();
+    let random = rand::random();
+    if let Some(name) = object.strip_prefix("route/") {
+        let explained = config.and_then(|config| explain_route(config, &endpoints, name, random));
+        return explained.map_or_else(|| status(StatusCode::NOT_FOUND), |route| json(&route));
+    }
+    let record = object
+        .strip_prefix("call/")
+        .and_then(|id| telemetry.recent.find(id));
+    match record {
+        Some(record) => json(&explain_call(&record, config, &endpoints, random)),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn metrics(board: &Blackboard, telemetry: &Telemetry) -> Response<Body> {
+    match telemetry.encode(board) {
         Ok(text) => content("text/plain; version=0.0.4", text.into_bytes()),
         Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
     }
--- a/crates/lavenderhatch-daemon/src/admin/status.rs
+++ b/crates/lavenderhatch-daemon/src/admin/status.rs
@@ -9,6 +9,8 @@
 use lavenderhatch_core::{MemberRecord, NodeId, StopName, Timestamp, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::metrics::PlatformStatus;
+
 /// A member as a daemon sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -35,11 +37,14 @@
     pub load: LoadView,
     /// Orders that this daemon keeps at most once.
     pub claims: ClaimsView,
+    /// Whether the platform answers this daemon.
+    #[serde(default)]
+    pub platform: PlatformStatus,
 }
 
 impl DaemonStatus {
     /// Reads the blackboard of the daemon named `node`.
-    pub fn from_board(node: &NodeId, board: &Blackboard) -> Self {
+    pub fn from_board(node: &NodeId, board: &Blackboard, platform: PlatformStatus) -> Self {
         let config = board.config.load();
         let config = config.as_ref().as_ref();
         let version = config.map_or(Version::NONE, |config| config.version);
@@ -63,6 +68,7 @@
             stops: board.drains.load().stops.clone(),
             load: LoadView::clone(&board.load.load()),
             claims: ClaimsView::clone(&board.claims.load()),
+            platform,
         }
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -4,6 +4,7 @@
 //! section that it owns. Controllers depend on the blackboard and never on each other.
 
 mod audit;
+mod audit_publisher;
 mod distribution;
 mod endpoint;
 mod handle;
@@ -16,7 +17,8 @@
 
 pub(crate) use platform_reader::news_channel;
 
-pub use audit::{AuditController, AuditSender};
+pub use audit::{AuditController, AuditReceiver, AuditSender};
+pub use audit_publisher::AuditPublisher;
 pub use distribution::DistributionController;
 pub use endpoint::EndpointController;
 pub use handle::ControllerHandle;
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -9,16 +9,18 @@
 use lavenderhatch_core::{Incarnation, MemberRecord, MemberState, Timestamp};
 use lavenderhatch_files::Settings;
 use lavenderhatch_platform::Platform;
-use prometheus::Registry;
 use tracing::info;
 
 use crate::admin::AdminPort;
 use crate::controller::{
-    AuditController, ControllerHandle, DistributionController, EndpointController, LeaveSender,
-    MembershipController, OrderController, PlatformReader, StopController,
+    AuditController, AuditPublisher, ControllerHandle, DistributionController, EndpointController,
+    LeaveSender, MembershipController, OrderController, PlatformReader, StopController,
 };
+use crate::metrics::{ObservedPlatform, Telemetry};
 use crate::peer::{Inboxes, PeerLinks, PeerPort};
-use crate::request::{CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath};
+use crate::request::{
+    CallObserver, CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath,
+};
 
 /// Requests of peers that wait for a controller. More are refused.
 const CONTROL_QUEUE: usize = 1024;
@@ -42,6 +44,8 @@
     /// Starts the controllers and binds the ports.
     pub fn spawn<P: Platform + Clone>(settings: &Settings, platform: P) -> Result<Self> {
         let (board, writers) = Blackboard::open();
+        let telemetry = Arc::new(Telemetry::open()?);
+        let platform = ObservedPlatform::new(platform, telemetry.platform.clone());
         let own = own_record(settings, Timestamp::from_system_clock());
         let (heartbeats_tx, heartbeats) = bounded(CONTROL_QUEUE);
         let (distribution_tx, requests) = bounded(CONTROL_QUEUE);
@@ -61,6 +65,13 @@
         let (leave, leaves) = StopController::channel();
         let controllers = vec![
             AuditController::spawn(events, writers.audit)?,
+            AuditPublisher {
+                own: own.clone(),
+                platform: platform.clone(),
+                members: board.members.clone(),
+                audit: board.audit.clone(),
+            }
+            .spawn()?,
             StopController {
                 own: own.clone(),
                 config: board.config.clone(),
@@ -123,12 +134,13 @@
             Duration::from_millis(settings.idle_timeout_ms),
             board.clone(),
             path,
+            CallObserver::new(&settings.node, Arc::clone(&telemetry)),
         )?;
         let admin = AdminPort::bind(
             settings.admin_addr,
             settings.node.clone(),
             board.clone(),
-            Registry::new(),
+            telemetry,
         )?;
         info!(
             "daemon: {} takes calls on {}",
--- a/crates/lavenderhatch-daemon/src/lib.rs
+++ b/crates/lavenderhatch-daemon/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`request`]: the path of a call, from the caller port to a back end.
 //! - [`peer`]: links to other daemons and the port that serves them.
 //! - [`controller`]: threads that read and write the blackboard.
+//! - [`metrics`]: what a daemon observes of itself.
 //! - [`admin`]: status, configuration and metrics over HTTP.
 
 pub mod admin;
 pub mod controller;
 mod daemon;
 mod http;
+pub mod metrics;
 pub mod peer;
 pub mod request;
 
--- a/crates/lavenderhatch-daemon/src/request.rs
+++ b/crates/lavenderhatch-daemon/src/request.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod caller_port;
 mod carry;
+mod observer;
 mod order;
 mod order_keys;
 mod path;
@@ -14,5 +15,6 @@
 pub use backend::{Backend, HttpBackend};
 pub use caller_port::CallerPort;
 pub use carry::CarryWorkers;
+pub use observer::CallObserver;
 pub use order::OrderClient;
 pub use path::{IncomingRequest, PeerCaller, RequestPath};
--- a/crates/lavenderhatch-daemon/src/request/caller_port.rs
+++ b/crates/lavenderhatch-daemon/src/request/caller_port.rs
@@ -14,6 +14,7 @@
 use lavenderhatch_core::{Error, ErrorKind};
 
 use super::backend::{Backend, is_passed_on};
+use super::observer::CallObserver;
 use super::path::{IncomingRequest, PeerCaller, RequestPath};
 use crate::http::{Handler, HttpRequest, HttpResponse, HttpServer};
 
@@ -36,8 +37,13 @@
         idle_timeout: Duration,
         board: Blackboard,
         path: Arc<RequestPath<B, L>>,
+        observer: CallObserver,
     ) -> Result<Self> {
-        let handler = CallerHandler { board, path };
+        let handler = CallerHandler {
+            board,
+            path,
+            observer,
+        };
         let server = HttpServer::bind(addr, max_connections, idle_timeout, handler)?;
         Ok(Self { server })
     }
@@ -51,6 +57,7 @@
 struct CallerHandler<B, L> {
     board: Blackboard,
     path: Arc<RequestPath<B, L>>,
+    observer: CallObserver,
 }
 
 impl<B: Backend, L: PeerCaller> Handler for CallerHandler<B, L> {
@@ -67,26 +74,40 @@
     }
 
     fn answer(&self, guard: &Self::Guard, req: &HttpRequest) -> HttpResponse {
-        let answer = match (guard, ReadRequest::new(req)) {
-            (Ok(_), Ok(read)) => self
-                .path
-                .handle(&read.as_incoming(), &mut rand::random::<u64>),
-            (Err(err), _) => CallAnswer::from_error(err.kind(), err.message()),
-            (_, Err((kind, message))) => CallAnswer::from_error(kind, message),
+        let id = req.header(CALL_ID_HEADER).filter(|id| !id.is_empty());
+        let id = id.map_or_else(|| self.observer.new_call_id(rand::random()), str::to_owned);
+        let answer = match (guard, ReadRequest::new(req, &id)) {
+            (Ok(_), Ok(read)) => self.handle(&read.as_incoming()),
+            (Err(err), _) => self.refusal(err.kind(), err.message()),
+            (_, Err((kind, message))) => self.refusal(kind, message),
         };
-        self.to_response(answer)
+        self.to_response(answer, Some(&id))
     }
 
     fn refuse(&self, kind: ErrorKind, message: &str) -> HttpResponse {
-        self.to_response(CallAnswer::from_error(kind, message))
+        self.to_response(self.refusal(kind, message), None)
     }
 }
 
-impl<B, L> CallerHandler<B, L> {
-    fn to_response(&self, answer: CallAnswer) -> HttpResponse {
+impl<B: Backend, L: PeerCaller> CallerHandler<B, L> {
+    fn handle(&self, req: &IncomingRequest<'_>) -> CallAnswer {
+        let config = self.board.config.load();
+        self.observer.observe(config.as_ref().as_ref(), req, || {
+            self.path.handle(req, &mut rand::random::<u64>)
+        })
+    }
+
+    /// The answer to a request that does not enter the path.
+    fn refusal(&self, kind: ErrorKind, message: &str) -> CallAnswer {
+        let answer = CallAnswer::from_error(kind, message);
+        self.observer.count_unread(&answer);
+        answer
+    }
+
+    fn to_response(&self, answer: CallAnswer, call_id: Option<&str>) -> HttpResponse {
         let config = self.board.config.load();
         let version = config.as_ref().as_ref().map(|config| config.version.0);
-        let mut res = to_response(answer, version);
+        let mut res = to_response(answer, version, call_id);
         // The end of the connection makes callers that keep it open move on.
         res.is_last = self.board.drains.load().is_leaving();
         res
@@ -100,13 +121,13 @@
     key: Option<&'a str>,
     deadline: Option<Duration>,
     depth: u8,
-    call_id: Option<&'a str>,
+    call_id: &'a str,
 }
 
 type ReadFault = (ErrorKind, &'static str);
 
 impl<'a> ReadRequest<'a> {
-    fn new(req: &'a HttpRequest) -> Result<Self, ReadFault> {
+    fn new(req: &'a HttpRequest, call_id: &'a str) -> Result<Self, ReadFault> {
         let key = req.header(KEY_HEADER);
         if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
             return Err((
@@ -122,7 +143,7 @@
             key,
             deadline: deadline.map(Duration::from_millis),
             depth: parse_header(req.header(DEPTH_HEADER))?.unwrap_or(0),
-            call_id: req.header(CALL_ID_HEADER),
+            call_id,
         })
     }
 
@@ -135,7 +156,7 @@
             key: self.key,
             deadline: self.deadline,
             depth: self.depth,
-            call_id: self.call_id,
+            call_id: Some(self.call_id),
         }
     }
 }
@@ -150,10 +171,26 @@
         .transpose()
 }
 
-fn to_response(answer: CallAnswer, version: Option<u64>) -> HttpResponse {
+/// Whether a header says something about this call that only a daemon can know. A back end that
+/// passes on the answer of another service has such headers of another call.
+fn is_own(name: &str) -> bool {
+    let own = [
+        CALL_ID_HEADER,
+        ERROR_HEADER,
+        OUTCOME_HEADER,
+        RETRY_AFTER_HEADER,
+        RETRY_HEADER,
+        VERSION_HEADER,
+    ];
+    own.contains(&name)
+}
+
+fn to_response(answer: CallAnswer, version: Option<u64>, call_id: Option<&str>) -> HttpResponse {
+    let mut headers = answer.headers;
+    headers.retain(|header| !is_own(&header.name));
     let mut res = HttpResponse {
         status: answer.status,
-        headers: answer.headers,
+        headers,
         body: answer.body,
         is_last: false,
     };
@@ -168,6 +205,9 @@
     if answer.is_retry_exhausted {
         res.add(RETRY_HEADER, "exhausted");
     }
+    if let Some(id) = call_id {
+        res.add(CALL_ID_HEADER, id);
+    }
     if let Some(version) = version {
         res.add(VERSION_HEADER, &version.to_string());
     }
--- /dev/null
+++ b/crates/lavenderhatch-daemon/src/request/observer.rs
@@ -0,0 +1,65 @@
+//! Counts calls at the caller port and keeps the recent ones.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lavenderhatch_core::call::CallAnswer;
+use lavenderhatch_core::{ConfigSnapshot, NodeId, Timestamp, Version};
+
+use super::path::IncomingRequest;
+use crate::metrics::{CallSummary, Telemetry};
+
+/// Observes the calls of one caller port.
+pub struct CallObserver {
+    own: NodeId,
+    telemetry: Arc<Telemetry>,
+}
+
+impl CallObserver {
+    /// Observes calls on the daemon named `own`.
+    pub fn new(own: &NodeId, telemetry: Arc<Telemetry>) -> Self {
+        Self {
+            own: own.clone(),
+            telemetry,
+        }
+    }
+
+    /// An id for a call that has none. It names the daemon that can explain the call.
+    pub fn new_call_id(&self, random: u64) -> String {
+        format!("{}-{random:016x}", self.own)
+    }
+
+    /// Answers a request by `handle` and records it.
+    pub fn observe(
+        &self,
+        config: Option<&ConfigSnapshot>,
+        req: &IncomingRequest<'_>,
+        handle: impl FnOnce() -> CallAnswer,
+    ) -> CallAnswer {
+        let start = Instant::now();
+        let answer = handle();
+        let elapsed = start.elapsed();
+        let path = req
+            .target
+            .split_once('?')
+            .map_or(req.target, |(path, _)| path);
+        let entry = config.and_then(|config| config.routes.find(req.method, path));
+        let version = config.map_or(Version::NONE, |config| config.version);
+        let call = CallSummary {
+            id: req.call_id.unwrap_or_default(),
+            method: req.method,
+            path,
+            body_bytes: req.body.len(),
+            at: Timestamp::from_system_clock(),
+        };
+        let route = entry.map(|entry| &entry.name);
+        self.telemetry
+            .record_call(&call, route, version, &answer, elapsed);
+        answer
+    }
+
+    /// Counts a request that could not be read.
+    pub fn count_unread(&self, answer: &CallAnswer) {
+        self.telemetry.count_unread(answer, Duration::ZERO);
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/audit.rs
@@ -0,0 +1,90 @@
+//! The audit trail of a zone, as the platform keeps it.
+
+use lavenderhatch_core::audit::{AuditAction, AuditEvent, AuditLog};
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{Digest, MemberRecord, NodeId, Version};
+
+use crate::acceptance::Acceptance;
+
+/// Prefix of the objects that hold the audit trail, one a zone.
+pub const AUDIT_PREFIX: &str = "audit/";
+/// Object of the rejections that operators' tools report. No zone has this name: the names of zones
+/// have no underscore.
+pub const OPERATORS_NAME: &str = "audit/_operators";
+
+/// Most events of one object. With [`MAX_EVENT_TEXT_BYTES`] and escapes it stays below 700 KB.
+pub const ZONE_CAPACITY: usize = 500;
+/// Most bytes of each text of an event that are kept in the platform.
+pub const MAX_EVENT_TEXT_BYTES: usize = 200;
+
+/// Whether this daemon writes the audit trail of its zone: of the live members of the zone, the one
+/// with the smallest rendezvous hash writes. If views differ there are two writers for a while, and
+/// conditional updates keep both correct.
+pub fn is_zone_writer(members: &Members, own: &MemberRecord) -> bool {
+    let rank = |id: &NodeId| Digest::of(format!("audit {} {id}", own.zone).as_bytes());
+    let own_rank = rank(&own.id);
+    let mut others = members
+        .live()
+        .filter(|record| record.zone == own.zone && record.id != own.id);
+    others.all(|record| own_rank < rank(&record.id))
+}
+
+/// The events of an acceptance as read from the root object.
+pub fn acceptance_event(acceptance: &Acceptance) -> AuditEvent {
+    AuditEvent {
+        at: acceptance.at,
+        actor: acceptance.author.clone(),
+        action: AuditAction::Accepted,
+        object: "mesh".to_owned(),
+        from: Some(Version(acceptance.version.0.saturating_sub(1))),
+        to: Some(acceptance.version),
+        reason: acceptance.reason.clone(),
+    }
+}
+
+/// Adds events to a trail in the order of their times, each once. The oldest ones beyond `capacity`
+/// are dropped and counted. `None` if the trail holds all events already.
+pub fn merge(trail: &AuditLog, events: &[AuditEvent], capacity: usize) -> Option<AuditLog> {
+    let mut merged = trail.clone();
+    for event in events {
+        let event = bounded(event);
+        if !merged.events.iter().any(|known| is_same(known, &event)) && !is_older(trail, &event) {
+            *merged.totals.entry(event.action).or_default() += 1;
+            merged.events.push(event);
+        }
+    }
+    if merged.events.len() == trail.events.len() {
+        return None;
+    }
+    merged.events.sort_by_key(|event| event.at);
+    let surplus = merged.events.len().saturating_sub(capacity);
+    merged.events.drain(..surplus);
+    merged.dropped += surplus as u64;
+    Some(merged)
+}
+
+/// Whether an event lies before all events of a trail that has dropped some; it may be one of them.
+fn is_older(trail: &AuditLog, event: &AuditEvent) -> bool {
+    let oldest = trail.events.first();
+    trail.dropped > 0 && oldest.is_some_and(|oldest| event.at < oldest.at)
+}
+
+/// A version is accepted once, whatever the length to which its reason was cut.
+fn is_same(a: &AuditEvent, b: &AuditEvent) -> bool {
+    let is_accepted = |event: &AuditEvent| event.action == AuditAction::Accepted;
+    a == b || (is_accepted(a) && is_accepted(b) && a.to == b.to)
+}
+
+fn bounded(event: &AuditEvent) -> AuditEvent {
+    let mut event = event.clone();
+    for text in [&mut event.actor, &mut event.object, &mut event.reason] {
+        let mut end = text.len().min(MAX_EVENT_TEXT_BYTES);
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        text.truncate(end);
+        // A control character takes six bytes in JSON.
+        *text = text.replace(char::is_control, " ");
+    }
+    event
+}
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -4,16 +4,20 @@
 //! random numbers are arguments. Any front end can drive this code, one message in, messages out.
 //!
 //! - [`acceptance`]: how a set of files becomes the accepted version.
+//! - [`audit`]: the audit trail of a zone.
 //! - [`distribution`]: how an accepted version reaches each daemon.
 //! - [`stops`]: when a backend server leaves for a planned stop or a signal.
 //! - [`endpoints`]: which backend servers may be chosen, and with which weight.
+//! - [`explain`]: why a call goes where it goes.
 //! - [`routing`]: which backend server runs a call.
 //! - [`orders`]: how an order runs at most once.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
+pub mod audit;
 pub mod distribution;
 pub mod endpoints;
+pub mod explain;
 pub mod message;
 pub mod orders;
 pub mod routing;
--- a/crates/lavenderhatch-platform/src/lib.rs
+++ b/crates/lavenderhatch-platform/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`ip_agent`]: an HTTP client for hosts that are IP addresses.
 
 pub mod accept;
+pub mod audit;
 mod client;
 mod error;
 mod faults;
