Add the remaining commands of the operator's tool and the demonstration

The tool could only check, apply and list members. It now compares, shows, explains, waits, and reads the audit trail, as text or JSON with documented exit codes; rejected sets enter the trail from the tool. The demonstration runs five daemons in two zones in one process and follows a planned stop by the admin port.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -2,8 +2,17 @@
 
 mod apply;
 mod check;
+mod completions;
+mod demo;
+mod diff;
+mod explain;
+mod fleet;
+mod history;
+mod show;
 mod status;
 mod target;
+mod time;
+mod wait;
 
 use std::process::ExitCode;
 
@@ -16,6 +25,10 @@
 pub(crate) const EXIT_BAD_FILES: u8 = 3;
 /// Another operator's version was accepted first.
 pub(crate) const EXIT_CONFLICT: u8 = 4;
+/// The version was not in force everywhere in time.
+pub(crate) const EXIT_TIMEOUT: u8 = 5;
+/// The files differ from the accepted set, and `diff` was asked to say so.
+pub(crate) const EXIT_DIFFERS: u8 = 6;
 
 /// The tool's command line.
 pub(crate) fn command() -> Command {
@@ -24,21 +37,36 @@
         .about("Describes a service mesh in files and reads back what is in force")
         .after_help(
             "Exit codes: 0 success, 1 failure, 2 wrong usage, 3 faulty files, \
-             4 another version was accepted first",
+             4 another version was accepted first, 5 not in force everywhere in time, \
+             6 the files differ from the accepted set (diff --exit-code)",
         )
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check::command())
+        .subcommand(diff::command())
         .subcommand(apply::command())
+        .subcommand(wait::command())
+        .subcommand(show::command())
         .subcommand(status::command())
+        .subcommand(history::command())
+        .subcommand(explain::command())
+        .subcommand(demo::command())
+        .subcommand(completions::command())
 }
 
 /// Runs the chosen command.
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
     match matches.subcommand() {
         Some(("check", args)) => check::run(args),
+        Some(("diff", args)) => diff::run(args),
         Some(("apply", args)) => apply::run(args),
+        Some(("wait", args)) => wait::run(args),
+        Some(("show", args)) => show::run(args),
         Some(("status", args)) => status::run(args),
+        Some(("history", args)) => history::run(args),
+        Some(("explain", args)) => explain::run(args),
+        Some(("demo", args)) => demo::run(args),
+        Some(("completions", args)) => completions::run(args),
         _ => Ok(ExitCode::from(EXIT_FAILURE)),
     }
 }
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -4,8 +4,12 @@
 
 use clap::{Arg, ArgMatches, Command};
 use eyre::Result;
-use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
+use lavenderhatch_core::{ErrorKind, Timestamp, Version};
+use lavenderhatch_decide::audit::{OPERATORS_NAME, ZONE_CAPACITY};
+use lavenderhatch_platform::HttpPlatform;
 use lavenderhatch_platform::accept::{Proposal, accept};
+use lavenderhatch_platform::audit::append;
 
 use super::{EXIT_BAD_FILES, EXIT_CONFLICT, target};
 
@@ -29,18 +33,24 @@
                 .help("Why, for the audit trail")
                 .default_value(""),
         )
+        .arg(target::output_arg())
 }
 
 pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let text = |name: &str| args.get_one::<String>(name).map_or("", String::as_str);
+    let now = Timestamp::from_system_clock();
+    let is_json = target::is_json(args);
+    let platform = target::platform(args);
     let mesh = match target::mesh(args)? {
         Ok(mesh) => mesh,
         Err(faults) => {
-            target::print_faults(&faults);
+            target::print_faults(&faults, is_json)?;
+            let first = faults.first().map_or(String::new(), ToString::to_string);
+            let reason = format!("{} faults, the first: {first}", faults.len());
+            report_rejection(&platform, text("author"), reason, now);
             return Ok(ExitCode::from(EXIT_BAD_FILES));
         }
     };
-    let text = |name: &str| args.get_one::<String>(name).map_or("", String::as_str);
-    let now = Timestamp::from_system_clock();
     let nonce = format!("{}-{}", now.as_millis(), std::process::id());
     let proposal = Proposal {
         mesh: &mesh,
@@ -48,15 +58,40 @@
         reason: text("reason"),
         nonce: &nonce,
     };
-    match accept(&target::platform(args), &proposal, now) {
+    match accept(&platform, &proposal, now) {
         Ok(version) => {
-            println!("version {version} accepted");
+            print_accepted(version, is_json)?;
             Ok(ExitCode::SUCCESS)
         }
         Err(err) if err.kind() == ErrorKind::Conflict => {
             eprintln!("error: {err}");
+            report_rejection(&platform, proposal.author, err.message().to_owned(), now);
             Ok(ExitCode::from(EXIT_CONFLICT))
         }
         Err(err) => Err(err.into()),
     }
 }
+
+fn print_accepted(version: Version, is_json: bool) -> Result<()> {
+    match is_json {
+        true => target::print_json(&serde_json::json!({ "version": version }))?,
+        false => println!("version {version} accepted"),
+    }
+    Ok(())
+}
+
+/// Enters a rejection into the audit trail. The tool's answer does not depend on it.
+fn report_rejection(platform: &HttpPlatform, author: &str, reason: String, now: Timestamp) {
+    let event = AuditEvent {
+        at: now,
+        actor: author.to_owned(),
+        action: AuditAction::Rejected,
+        object: "mesh".to_owned(),
+        from: None,
+        to: None,
+        reason,
+    };
+    if let Err(err) = append(platform, OPERATORS_NAME, &[event], ZONE_CAPACITY) {
+        eprintln!("audit: the rejection is not in the trail: {err}");
+    }
+}
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -11,10 +11,16 @@
     Command::new("check")
         .about("Checks mesh files, offline")
         .arg(target::dir_arg())
+        .arg(target::output_arg())
 }
 
 pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let is_json = target::is_json(args);
     match target::mesh(args)? {
+        Ok(_) if is_json => {
+            target::print_faults_json(&[])?;
+            Ok(ExitCode::SUCCESS)
+        }
         Ok(mesh) => {
             println!(
                 "no faults: {} services, {} routes, {} ranks, {} stops",
@@ -26,7 +32,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Err(faults) => {
-            target::print_faults(&faults);
+            target::print_faults(&faults, is_json)?;
             Ok(ExitCode::from(EXIT_BAD_FILES))
         }
     }
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,212 @@
+//! `lavenderhatch demo`: a small mesh in one process, and a planned stop while calls run.
+
+mod callers;
+mod cluster;
+mod tally;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use crossbeam::channel::{after, tick};
+use eyre::{Result, WrapErr, eyre};
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_core::drain::{StopPhase, StopStatus};
+use lavenderhatch_daemon::admin::DaemonStatus;
+use lavenderhatch_files::{Source, parse_mesh};
+use lavenderhatch_platform::accept::{Proposal, accept};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use self::callers::Callers;
+use self::cluster::Cluster;
+use self::tally::Tally;
+use super::wait::watch;
+use super::{EXIT_FAILURE, EXIT_TIMEOUT, target, time};
+
+/// The sample mesh.
+const MESH: &str = include_str!("../../examples/mesh/mesh.jsonc");
+/// The backend server that is stopped.
+const STOPPED: &str = "orders-1";
+/// Name of its planned stop.
+const STOP: &str = "replace-orders-1";
+/// From the acceptance of the planned stop to its start.
+const STOP_LEAD: Duration = Duration::from_secs(1);
+/// From the start of the planned stop to its deadline.
+const STOP_SPAN: Duration = Duration::from_secs(60);
+/// Longest wait for a version to be in force everywhere.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(15);
+/// Longest wait for the planned stop to be drained.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the planned stop.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+pub(super) fn command() -> Command {
+    Command::new("demo")
+        .about("Runs a small mesh in one process and stops a backend server while calls run")
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .help("Time for which calls run before and after the stop")
+                .default_value("3")
+                .value_parser(value_parser!(u64).range(1..=600)),
+        )
+        .arg(
+            Arg::new("keep-running")
+                .long("keep-running")
+                .help("Keep the mesh running afterwards, until it is interrupted")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let span = Duration::from_secs(args.get_one("seconds").copied().unwrap_or(3));
+    let cluster = Cluster::start()?;
+    print_cluster(&cluster);
+    if !put_in_force(&cluster, None, "the sample mesh")? {
+        return Ok(ExitCode::from(EXIT_TIMEOUT));
+    }
+    let callers = Callers::start(&cluster.caller_addrs())?;
+    let before = run_calls(&cluster, &callers, span, "with all backend servers");
+    let has_drained = stop_one(&cluster)?;
+    let after = run_calls(&cluster, &callers, span, "after the stop");
+    let total = callers.finish();
+    print_total(&total, &before, &after, has_drained);
+    if args.get_flag("keep-running") {
+        keep_running(&cluster)?;
+    }
+    Ok(match total.cut() {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(EXIT_FAILURE),
+    })
+}
+
+fn print_cluster(cluster: &Cluster) {
+    println!("platform stand-in on {}", cluster.platform_addr());
+    for node in cluster.nodes() {
+        println!(
+            "{:<12} {} {:<10} callers {}  administration {}",
+            node.name, node.zone, node.service, node.caller_addr, node.admin_addr
+        );
+    }
+}
+
+/// Has the sample mesh accepted, with a planned stop if there is one, and waits for it.
+fn put_in_force(cluster: &Cluster, stop: Option<Source>, what: &str) -> Result<bool> {
+    let mut sources = vec![Source::new("mesh.jsonc", MESH)];
+    sources.extend(stop);
+    let mesh = parse_mesh(&sources).map_err(|faults| match faults.first() {
+        Some(fault) => eyre!("{fault}"),
+        None => eyre!("the sample mesh has faults"),
+    })?;
+    let now = Timestamp::from_system_clock();
+    let nonce = format!("demo-{}-{}", now.as_millis(), std::process::id());
+    let proposal = Proposal {
+        mesh: &mesh,
+        author: "demo",
+        reason: what,
+        nonce: &nonce,
+    };
+    let version = accept(cluster.platform(), &proposal, now)?;
+    let start = Instant::now();
+    let progress = watch(cluster.admin_addr(), version, CONVERGENCE_LIMIT, |_| {})?;
+    let (held, members) = (progress.held(), progress.members());
+    let millis = start.elapsed().as_millis();
+    println!(
+        "version {version} ({what}): in force on {held} of {members} daemons after {millis} ms"
+    );
+    Ok(held >= cluster.nodes().len())
+}
+
+/// Lets the callers run for a time and prints what they got.
+fn run_calls(cluster: &Cluster, callers: &Callers, span: Duration, what: &str) -> Tally {
+    let at_start = cluster.ran();
+    callers.take();
+    let _ = after(span).recv();
+    let tally = callers.take();
+    println!("{} s {what}: {tally}", span.as_secs());
+    for (name, ran) in cluster.ran() {
+        let before = at_start.get(&name).copied().unwrap_or(0);
+        println!("  {name:<12} ran {}", ran - before);
+    }
+    tally
+}
+
+/// Stops one backend server as planned, and says whether it was seen drained.
+fn stop_one(cluster: &Cluster) -> Result<bool> {
+    let start = Timestamp::from_system_clock() + STOP_LEAD;
+    let text = format!(
+        r#"{{ "stops": {{ "{STOP}": {{ "backend_server": "{STOPPED}",
+             "start": "{}", "deadline": "{}" }} }} }}"#,
+        time::format(start + Duration::from_millis(999)),
+        time::format(start + STOP_SPAN)
+    );
+    let what = format!("planned stop of {STOPPED}");
+    put_in_force(cluster, Some(Source::new("stops.jsonc", text)), &what)?;
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    let ticks = tick(LOOK_INTERVAL);
+    let mut last = None;
+    while Instant::now() < deadline {
+        let stop = look(cluster)?;
+        if stop.as_ref().map(|stop| stop.phase) != last {
+            last = stop.as_ref().map(|stop| stop.phase);
+            print_phase(stop.as_ref());
+        }
+        if last == Some(StopPhase::Drained) {
+            return Ok(true);
+        }
+        let _ = ticks.recv();
+    }
+    println!(
+        "  {STOPPED} was not drained within {} s",
+        DRAIN_LIMIT.as_secs()
+    );
+    Ok(false)
+}
+
+/// The planned stop as its own daemon reports it.
+fn look(cluster: &Cluster) -> Result<Option<StopStatus>> {
+    let status: DaemonStatus = target::get_json(cluster.admin_addr_of(STOPPED)?, "/status")?;
+    let named = status
+        .stops
+        .into_iter()
+        .find(|(name, _)| name.as_str() == STOP);
+    Ok(named.map(|(_, stop)| stop))
+}
+
+fn print_phase(stop: Option<&StopStatus>) {
+    if let Some(stop) = stop {
+        let in_flight = stop.in_flight.unwrap_or(0);
+        println!(
+            "  {STOPPED} is {:?} since {}, {in_flight} in flight",
+            stop.phase,
+            time::format(stop.since)
+        );
+    }
+}
+
+fn print_total(total: &Tally, before: &Tally, after: &Tally, has_drained: bool) {
+    println!("in all: {total}");
+    println!(
+        "refused before the stop {}, after it {}",
+        before.not_run, after.not_run
+    );
+    println!("cut off or in doubt: {}", total.cut());
+    if !has_drained {
+        println!("the planned stop was not reported as drained");
+    }
+}
+
+/// Says how to reach the mesh and waits for a signal.
+fn keep_running(cluster: &Cluster) -> Result<()> {
+    println!(
+        "export LAVENDERHATCH_PLATFORM=http://{}",
+        cluster.platform_addr()
+    );
+    println!("export LAVENDERHATCH_DAEMON={}", cluster.admin_addr());
+    println!("the mesh runs until it is interrupted (Ctrl-C)");
+    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
+    signals.forever().next();
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/demo/callers.rs
@@ -0,0 +1,133 @@
+//! Callers of the demonstration.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
+use eyre::Result;
+use ureq::Agent;
+use ureq::http::Response;
+
+use super::tally::Tally;
+
+/// Callers for each daemon.
+const CALLERS_PER_DAEMON: usize = 2;
+/// Time between two calls of one caller.
+const PACE: Duration = Duration::from_millis(10);
+/// Time that a caller waits for an answer.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Callers that run until they are finished.
+pub(super) struct Callers {
+    stop: Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+    /// Calls since the last `take`, and calls before it.
+    counts: Arc<Mutex<(Tally, Tally)>>,
+}
+
+impl Callers {
+    /// Starts callers of each daemon.
+    pub(super) fn start(addrs: &[SocketAddr]) -> Result<Self> {
+        let (stop, stopped) = bounded(0);
+        let counts = Arc::default();
+        let mut threads = Vec::new();
+        for (at, addr) in addrs.iter().enumerate() {
+            for n in 0..CALLERS_PER_DAEMON {
+                let caller = Caller::new(*addr, format!("demo-{at}-{n}"), Arc::clone(&counts));
+                let stopped = stopped.clone();
+                let name = format!("caller-{at}-{n}");
+                let spawned = thread::Builder::new().name(name);
+                threads.push(spawned.spawn(move || caller.run(&stopped))?);
+            }
+        }
+        Ok(Self {
+            stop,
+            threads,
+            counts,
+        })
+    }
+
+    /// Calls since this was asked last.
+    pub(super) fn take(&self) -> Tally {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let (recent, earlier) = &mut *counts;
+        let taken = std::mem::take(recent);
+        earlier.add(&taken);
+        taken
+    }
+
+    /// Ends the callers after their present calls and gives all calls.
+    pub(super) fn finish(self) -> Tally {
+        drop(self.stop);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let (recent, earlier) = &*counts;
+        let mut total = earlier.clone();
+        total.add(recent);
+        total
+    }
+}
+
+/// One caller.
+struct Caller {
+    agent: Agent,
+    base: String,
+    name: String,
+    counts: Arc<Mutex<(Tally, Tally)>>,
+}
+
+impl Caller {
+    fn new(addr: SocketAddr, name: String, counts: Arc<Mutex<(Tally, Tally)>>) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        Self {
+            agent: config.into(),
+            base: format!("http://{addr}"),
+            name,
+            counts,
+        }
+    }
+
+    fn run(&self, stopped: &Receiver<()>) {
+        let ticks = tick(PACE);
+        let mut number = 0;
+        loop {
+            select! {
+                recv(stopped) -> _ => return,
+                recv(ticks) -> _ => {}
+            }
+            number += 1;
+            let res = self.call(number);
+            let header = |name: &str| {
+                let value = res.as_ref().ok()?.headers().get(name)?;
+                value.to_str().ok()
+            };
+            let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+            let outcome = header("lavenderhatch-outcome");
+            counts.0.count(outcome, header("lavenderhatch-error"));
+        }
+    }
+
+    /// Orders, looks at orders and searches in turn, and reads the whole answer.
+    fn call(&self, number: u64) -> Result<Response<Vec<u8>>, ureq::Error> {
+        let base = &self.base;
+        let res = match number % 3 {
+            0 => {
+                let key = format!("{}-{number}", self.name);
+                let req = self.agent.post(format!("{base}/orders"));
+                req.header("idempotency-key", key)
+                    .send("two reams of vellum")
+            }
+            1 => self.agent.get(format!("{base}/orders/{number}")).call(),
+            _ => self.agent.get(format!("{base}/search?q=vellum")).call(),
+        };
+        let (head, mut body) = res?.into_parts();
+        Ok(Response::from_parts(head, body.read_to_vec()?))
+    }
+}
--- /dev/null
+++ b/src/cmd/demo/tally.rs
@@ -0,0 +1,70 @@
+//! What callers got.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Calls by what their answers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Tally {
+    /// Calls that a back end answered.
+    pub(super) ran: u64,
+    /// Calls that were refused and did not run.
+    pub(super) not_run: u64,
+    /// Calls of which nobody can tell.
+    pub(super) unknown: u64,
+    /// Calls without an answer.
+    pub(super) unanswered: u64,
+    /// Answers by error kind.
+    pub(super) errors: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    /// Counts an answer by its headers; `None` if there was no answer.
+    pub(super) fn count(&mut self, outcome: Option<&str>, error: Option<&str>) {
+        match outcome {
+            Some("ran") => self.ran += 1,
+            Some("not-run") => self.not_run += 1,
+            Some(_) => self.unknown += 1,
+            None => self.unanswered += 1,
+        }
+        if let Some(kind) = error {
+            *self.errors.entry(kind.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Adds the counts of another tally.
+    pub(super) fn add(&mut self, other: &Tally) {
+        self.ran += other.ran;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.unanswered += other.unanswered;
+        for (kind, count) in &other.errors {
+            *self.errors.entry(kind.clone()).or_default() += count;
+        }
+    }
+
+    /// Calls that were cut off or are in doubt.
+    pub(super) fn cut(&self) -> u64 {
+        self.unknown + self.unanswered
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            ran,
+            not_run,
+            unknown,
+            unanswered,
+            ..
+        } = self;
+        write!(
+            f,
+            "{ran} ran, {not_run} refused, {unknown} unknown, {unanswered} unanswered"
+        )?;
+        for (kind, count) in &self.errors {
+            write!(f, ", {kind} {count}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,135 @@
+//! `lavenderhatch explain`: why a call goes where it goes, or why it was refused.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use eyre::{Result, eyre};
+use lavenderhatch_decide::explain::{CallExplanation, RouteExplanation};
+
+use super::{EXIT_FAILURE, target, time};
+
+pub(super) fn command() -> Command {
+    Command::new("explain")
+        .about("Says why a call goes where it goes, or why it was refused")
+        .subcommand_required(true)
+        .subcommand(subject(
+            "route",
+            "NAME",
+            "Why the calls of a route go where they go",
+        ))
+        .subcommand(subject(
+            "call",
+            "ID",
+            "Why a recent call was answered as it was; asks the daemon that took it",
+        ))
+}
+
+fn subject(name: &'static str, value: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(Arg::new("subject").value_name(value).required(true))
+        .arg(target::daemon_arg())
+        .arg(target::output_arg())
+}
+
+pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let (kind, args) = args.subcommand().ok_or_else(|| eyre!("no subject"))?;
+    let subject: &String = args.get_one("subject").ok_or_else(|| eyre!("no subject"))?;
+    let daemon = target::daemon(args)?;
+    let is_json = target::is_json(args);
+    match kind {
+        "route" => explain_route(daemon, subject, is_json),
+        _ => explain_call(daemon, subject, is_json),
+    }
+}
+
+fn explain_route(daemon: SocketAddr, name: &str, is_json: bool) -> Result<ExitCode> {
+    let path = format!("/explain/route/{}", encode(name));
+    let Some(route) = target::find_json::<RouteExplanation>(daemon, &path)? else {
+        eprintln!("error: no route {name:?} is in force on {daemon}");
+        return Ok(ExitCode::from(EXIT_FAILURE));
+    };
+    match is_json {
+        true => target::print_json(&route)?,
+        false => print_route(&route),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn explain_call(daemon: SocketAddr, id: &str, is_json: bool) -> Result<ExitCode> {
+    let path = format!("/explain/call/{}", encode(id));
+    let Some(call) = target::find_json::<CallExplanation>(daemon, &path)? else {
+        eprintln!(
+            "error: {daemon} keeps no call {id:?}; it keeps the last ones that callers sent to it"
+        );
+        return Ok(ExitCode::from(EXIT_FAILURE));
+    };
+    if is_json {
+        target::print_json(&call)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let record = &call.record;
+    println!(
+        "{} at {}: {} {} -> {}, {} us",
+        record.id,
+        time::format(record.at),
+        record.method,
+        record.path,
+        record.status,
+        record.duration_us
+    );
+    call.reasons
+        .iter()
+        .for_each(|reason| println!("- {reason}"));
+    if let Some(route) = &call.route {
+        print_route(route);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_route(route: &RouteExplanation) {
+    println!("route {} in version {}", route.name, route.version);
+    route
+        .reasons
+        .iter()
+        .for_each(|reason| println!("- {reason}"));
+    if let Some(other) = &route.shadowed_by {
+        println!(
+            "- route {other} takes requests for {:?} first",
+            route.route.path
+        );
+    }
+    for candidate in &route.candidates {
+        println!(
+            "  {:<20} {:<12} weight {:>4}/1000, {} slots, {} in flight from here{}",
+            candidate.node,
+            candidate.zone,
+            candidate.weight,
+            candidate.slots,
+            candidate.outstanding,
+            if candidate.is_last_resort {
+                ", last resort"
+            } else {
+                ""
+            }
+        );
+    }
+    match (&route.choice, route.refusal) {
+        (Some(node), _) => println!("a call now goes to {node}"),
+        (None, Some(kind)) => println!("a call now is refused: {kind}"),
+        (None, None) => {}
+    }
+}
+
+/// Encodes a text as one segment of a path.
+fn encode(text: &str) -> String {
+    let mut encoded = String::new();
+    for byte in text.bytes() {
+        match byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            true => encoded.push(char::from(byte)),
+            false => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/src/cmd/fleet.rs
@@ -0,0 +1,81 @@
+//! How far a version has come.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use eyre::Result;
+use lavenderhatch_core::{MemberState, NodeId, Version, Zone};
+use lavenderhatch_daemon::admin::{DaemonStatus, MemberStatus};
+use serde::Serialize;
+
+use super::target;
+
+/// Members of one zone and the versions that they hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct ZoneProgress {
+    /// Running members.
+    pub(crate) members: usize,
+    /// Members that hold the version or a later one.
+    pub(crate) held: usize,
+    /// Lowest version known to be held.
+    pub(crate) lowest: Option<Version>,
+    /// Members known to hold an earlier version.
+    pub(crate) behind: Vec<NodeId>,
+    /// Members whose version is not known.
+    pub(crate) unknown: Vec<NodeId>,
+}
+
+/// How far a version has come in each zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct FleetProgress {
+    /// The version.
+    pub(crate) version: Version,
+    /// By zone.
+    pub(crate) zones: BTreeMap<Zone, ZoneProgress>,
+}
+
+impl FleetProgress {
+    /// Running members of all zones.
+    pub(crate) fn members(&self) -> usize {
+        self.zones.values().map(|zone| zone.members).sum()
+    }
+
+    /// Members of all zones that hold the version.
+    pub(crate) fn held(&self) -> usize {
+        self.zones.values().map(|zone| zone.held).sum()
+    }
+
+    /// Whether all running members hold the version.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.members() > 0 && self.held() == self.members()
+    }
+}
+
+/// Asks how far a version has come. The one place that decides where this is read from.
+pub(crate) fn read_progress(daemon: SocketAddr, version: Version) -> Result<FleetProgress> {
+    let status: DaemonStatus = target::get_json(daemon, "/status")?;
+    Ok(progress(&status, version))
+}
+
+/// How far a version has come as one daemon sees it.
+pub(crate) fn progress(status: &DaemonStatus, version: Version) -> FleetProgress {
+    let mut zones: BTreeMap<Zone, ZoneProgress> = BTreeMap::new();
+    for member in status.members.iter().filter(|member| is_expected(member)) {
+        let zone = zones.entry(member.record.zone.clone()).or_default();
+        zone.members += 1;
+        let id = member.record.id.clone();
+        match member.version {
+            Some(held) if held >= version => zone.held += 1,
+            Some(_) => zone.behind.push(id),
+            None => zone.unknown.push(id),
+        }
+        let lowest = [zone.lowest, member.version];
+        zone.lowest = lowest.into_iter().flatten().min();
+    }
+    FleetProgress { version, zones }
+}
+
+/// Whether a member counts: it runs, or nobody can tell whether it does.
+fn is_expected(member: &MemberStatus) -> bool {
+    !matches!(member.record.state, MemberState::Left | MemberState::Failed)
+}
--- /dev/null
+++ b/src/cmd/show.rs
@@ -0,0 +1,80 @@
+//! `lavenderhatch show`: reads back what is in force, as files.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr, bail};
+use lavenderhatch_core::mesh::MeshParts;
+use lavenderhatch_core::{Digest, Mesh, Version};
+use lavenderhatch_files::render_mesh;
+use serde::{Deserialize, Serialize};
+
+use super::target;
+
+pub(super) fn command() -> Command {
+    Command::new("show")
+        .about("Reads back the configuration in force on a daemon, as files")
+        .arg(
+            Arg::new("into")
+                .long("into")
+                .value_name("DIR")
+                .help("Write the files into this directory, which must be absent or empty")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(target::daemon_arg())
+        .arg(target::output_arg())
+}
+
+/// Answer of `GET /config`.
+#[derive(Debug, Serialize, Deserialize)]
+struct InForce {
+    version: Version,
+    digest: Digest,
+    mesh: MeshParts,
+}
+
+pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let in_force: InForce = target::get_json(target::daemon(args)?, "/config")?;
+    let Ok(mesh) = Mesh::check(in_force.mesh.clone()) else {
+        bail!("the daemon's configuration has faults");
+    };
+    if mesh.digest() != in_force.digest {
+        bail!("the daemon's configuration does not have the digest that it names");
+    }
+    if let Some(dir) = args.get_one::<PathBuf>("into") {
+        write_files(dir, &mesh)?;
+        println!(
+            "version {} is written to {}",
+            in_force.version,
+            dir.display()
+        );
+    } else if target::is_json(args) {
+        target::print_json(&in_force)?;
+    } else {
+        println!(
+            "// Version {}, digest {}",
+            in_force.version, in_force.digest
+        );
+        for source in render_mesh(&mesh) {
+            println!("// {}", source.name);
+            print!("{}", source.text);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes one file a section. A directory with files is left alone: the set that it holds would be
+/// mixed with this one.
+fn write_files(dir: &PathBuf, mesh: &Mesh) -> Result<()> {
+    let context = || format!("cannot write to {}", dir.display());
+    fs::create_dir_all(dir).wrap_err_with(context)?;
+    if fs::read_dir(dir).wrap_err_with(context)?.next().is_some() {
+        bail!("{} is not empty", dir.display());
+    }
+    for source in render_mesh(mesh) {
+        fs::write(dir.join(&source.name), &source.text).wrap_err_with(context)?;
+    }
+    Ok(())
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,39 +1,146 @@
-//! `lavenderhatch status`: the version in force and who lags.
+//! `lavenderhatch status`: what is in force where, who lags, and what goes on.
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 use clap::{ArgMatches, Command};
 use eyre::Result;
+use lavenderhatch_core::drain::StopStatus;
+use lavenderhatch_core::load::LoadView;
+use lavenderhatch_core::{MemberState, NodeId, StopName, Timestamp, Version, Zone};
 use lavenderhatch_daemon::admin::DaemonStatus;
+use lavenderhatch_daemon::metrics::PlatformStatus;
+use serde::Serialize;
 
-use super::target;
+use super::fleet::{ZoneProgress, progress};
+use super::{target, time};
 
 pub(super) fn command() -> Command {
     Command::new("status")
-        .about("Shows the version in force and the members that lag")
+        .about("Shows the version in force by zone, daemons that lag, stops and load")
         .arg(target::daemon_arg())
         .arg(target::output_arg())
 }
 
+/// What the command prints.
+#[derive(Debug, Serialize)]
+struct Report {
+    /// The daemon that was asked.
+    daemon: NodeId,
+    /// Version in force on it.
+    version: Version,
+    applied_at: Option<Timestamp>,
+    platform: PlatformStatus,
+    /// Members by zone, against that version.
+    zones: BTreeMap<Zone, ZoneProgress>,
+    /// Members that do not serve.
+    not_serving: BTreeMap<NodeId, MemberState>,
+    stops: BTreeMap<StopName, StopStatus>,
+    /// Load of the backend server beside the daemon.
+    load: LoadView,
+}
+
 pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
-    let status: DaemonStatus = target::get_json(args, "/status")?;
-    if target::is_json(args) {
-        println!("{}", serde_json::to_string_pretty(&status)?);
-        return Ok(ExitCode::SUCCESS);
+    let status: DaemonStatus = target::get_json(target::daemon(args)?, "/status")?;
+    let report = Report::new(status);
+    match target::is_json(args) {
+        true => target::print_json(&report)?,
+        false => report.print(),
     }
-    println!("version {} on {}", status.version, status.node);
-    for member in &status.members {
-        let record = &member.record;
-        let version = member
-            .version
-            .map_or("?".to_owned(), |version| version.to_string());
+    Ok(ExitCode::SUCCESS)
+}
+
+impl Report {
+    fn new(status: DaemonStatus) -> Self {
+        let zones = progress(&status, status.version).zones;
+        let records = status.members.iter().map(|member| &member.record);
+        let not_serving = records
+            .filter(|record| record.state != MemberState::Serving)
+            .map(|record| (record.id.clone(), record.state));
+        Self {
+            not_serving: not_serving.collect(),
+            zones,
+            daemon: status.node,
+            version: status.version,
+            applied_at: status.applied_at,
+            platform: status.platform,
+            stops: status.stops,
+            load: status.load,
+        }
+    }
+
+    fn print(&self) {
+        let since = self
+            .applied_at
+            .map_or(String::new(), |at| format!(" since {}", time::format(at)));
         println!(
-            "{:<20} {:<12} {:<16} {:<12} version {version}",
-            record.id,
-            record.zone,
-            record.service,
-            format!("{:?}", record.state)
+            "version {} in force on {}{since}",
+            self.version, self.daemon
         );
+        self.print_platform();
+        for (name, zone) in &self.zones {
+            print_zone(name, zone);
+        }
+        for (id, state) in &self.not_serving {
+            println!("  {id} is {state:?}");
+        }
+        for (name, stop) in &self.stops {
+            print_stop(name, stop);
+        }
+        self.print_load();
     }
-    Ok(ExitCode::SUCCESS)
+
+    fn print_platform(&self) {
+        match (self.platform.is_reachable, self.platform.last_answer) {
+            (true, _) => println!("the platform answers"),
+            (false, Some(at)) => {
+                println!("the platform has not answered since {}", time::format(at))
+            }
+            (false, None) => println!("the platform has not answered yet"),
+        }
+    }
+
+    fn print_load(&self) {
+        let load = &self.load;
+        if load.limit > 0 {
+            println!(
+                "load of {}: {} in flight, limit {}",
+                self.daemon, load.in_flight, load.limit
+            );
+        }
+        for (rank, of_rank) in &load.ranks {
+            println!(
+                "  rank {rank:<16} {} waiting, {} admitted, {} refused",
+                of_rank.queued, of_rank.admitted, of_rank.refused
+            );
+        }
+    }
+}
+
+fn print_zone(name: &Zone, zone: &ZoneProgress) {
+    let lowest = zone
+        .lowest
+        .map_or("?".to_owned(), |version| version.to_string());
+    println!(
+        "zone {name}: {} of {} daemons hold it, lowest version {lowest}",
+        zone.held, zone.members
+    );
+    for id in &zone.behind {
+        println!("  {id} lags");
+    }
+    if !zone.unknown.is_empty() {
+        println!("  no version is known of {} daemons", zone.unknown.len());
+    }
+}
+
+fn print_stop(name: &StopName, stop: &StopStatus) {
+    let in_flight = stop
+        .in_flight
+        .map_or(String::new(), |count| format!(", {count} in flight"));
+    println!(
+        "stop {name} of {}: {:?} since {}{in_flight}",
+        stop.backend_server,
+        stop.phase,
+        time::format(stop.since)
+    );
 }
--- a/src/cmd/target.rs
+++ b/src/cmd/target.rs
@@ -1,12 +1,18 @@
 //! Arguments that several commands share.
 
+use std::net::SocketAddr;
 use std::path::Path;
 
 use clap::{Arg, ArgMatches, value_parser};
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, WrapErr, bail, eyre};
 use lavenderhatch_core::Mesh;
 use lavenderhatch_files::{FileFault, parse_mesh, read_dir};
 use lavenderhatch_platform::HttpPlatform;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest answer of a daemon, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
 /// The directory of mesh files.
 pub(crate) fn dir_arg() -> Arg {
@@ -73,22 +79,66 @@
     Ok(parse_mesh(&sources))
 }
 
-/// Prints faults, one a line, and their number.
-pub(crate) fn print_faults(faults: &[FileFault]) {
+/// Prints faults, one a line, and their number; or as JSON on the standard output.
+pub(crate) fn print_faults(faults: &[FileFault], is_json: bool) -> Result<()> {
+    if is_json {
+        return print_faults_json(faults);
+    }
     for fault in faults {
         eprintln!("{fault}");
     }
     eprintln!("{} faults; nothing was changed", faults.len());
+    Ok(())
+}
+
+/// Prints faults as a JSON list.
+pub(crate) fn print_faults_json(faults: &[FileFault]) -> Result<()> {
+    let as_json = |fault: &FileFault| {
+        serde_json::json!({
+            "file": fault.file,
+            "line": fault.line,
+            "column": fault.column,
+            "message": fault.message,
+            "remedy": fault.remedy,
+        })
+    };
+    let faults: Vec<_> = faults.iter().map(as_json).collect();
+    print_json(&serde_json::json!({ "faults": faults }))
+}
+
+/// Prints a value as JSON.
+pub(crate) fn print_json(value: &impl Serialize) -> Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
+
+/// The administration port that was given.
+pub(crate) fn daemon(args: &ArgMatches) -> Result<SocketAddr> {
+    let addr = args.get_one("daemon").copied();
+    addr.ok_or_else(|| eyre!("no daemon is given"))
 }
 
 /// Reads JSON from the administration port of a daemon.
-pub(crate) fn get_json<T: serde::de::DeserializeOwned>(args: &ArgMatches, path: &str) -> Result<T> {
-    let addr: &std::net::SocketAddr = args
-        .get_one("daemon")
-        .ok_or_else(|| eyre!("no daemon is given"))?;
-    let mut res = ureq::get(format!("http://{addr}{path}"))
-        .call()
-        .wrap_err_with(|| format!("daemon {addr} does not answer {path}"))?;
-    let body = res.body_mut().read_to_vec()?;
-    serde_json::from_slice(&body).wrap_err_with(|| format!("answer of {addr}{path}"))
+pub(crate) fn get_json<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Result<T> {
+    find_json(addr, path)?.ok_or_else(|| eyre!("daemon {addr} does not know {path}"))
+}
+
+/// Reads JSON from the administration port of a daemon; `None` if it has no such object.
+pub(crate) fn find_json<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Result<Option<T>> {
+    let mut res = match ureq::get(format!("http://{addr}{path}")).call() {
+        Ok(res) => res,
+        Err(ureq::Error::StatusCode(404)) => return Ok(None),
+        Err(ureq::Error::StatusCode(503)) => bail!("daemon {addr} has no configuration yet"),
+        Err(err) => {
+            return Err(err).wrap_err_with(|| format!("daemon {addr} does not answer {path}"));
+        }
+    };
+    let body = res
+        .body_mut()
+        .with_config()
+        .limit(MAX_ANSWER_BYTES)
+        .read_to_vec()?;
+    let value =
+        serde_json::from_slice(&body).wrap_err_with(|| format!("answer of {addr}{path}"))?;
+    Ok(Some(value))
 }
