Report numbers that are too large at their own place

A number beyond 32 bits and a number such as 1e999 passed the tables of keys and failed in the types behind them, so that the fault was reported at the first object of the set. The tables now know the width of whole numbers and refuse endless ones.

--- a/crates/lavenderhatch-files/src/field.rs
+++ b/crates/lavenderhatch-files/src/field.rs
@@ -17,12 +17,13 @@
     Name,
     /// `IP:PORT`.
     Address,
-
     /// One of a fixed list of texts.
     Choice(&'static [&'static str]),
-    /// A whole number that is not negative.
+    /// A whole number from 0 to 2^64 - 1.
     Integer,
-    /// A number.
+    /// A whole number from 0 to 2^32 - 1.
+    SmallInteger,
+    /// A finite number.
     Number,
     /// `true` or `false`.
     Boolean,
@@ -130,7 +131,15 @@
         },
         FieldType::Integer => read_number(value, |text| text.parse::<u64>().ok().map(Json::from))
             .ok_or_else(|| value_fault("is not a whole number", "write a number such as 12")),
-        FieldType::Number => read_number(value, |text| text.parse::<f64>().ok().map(Json::from))
+        FieldType::SmallInteger => {
+            read_number(value, |text| text.parse::<u32>().ok().map(Json::from)).ok_or_else(|| {
+                value_fault(
+                    "is not a whole number up to 4294967295",
+                    "write a number such as 12",
+                )
+            })
+        }
+        FieldType::Number => read_number(value, read_finite)
             .ok_or_else(|| value_fault("is not a number", "write a number such as 0.5")),
         FieldType::TextList => read_list(value, |_| Ok(())),
         FieldType::UrlList => {
@@ -172,6 +181,11 @@
     }
 }
 
+fn read_finite(text: &str) -> Option<Json> {
+    let number = text.parse::<f64>().ok()?;
+    number.is_finite().then(|| Json::from(number))
+}
+
 fn read_list(
     value: &Value<'_>,
     check: impl Fn(&str) -> Result<(), ValueFault>,
--- a/crates/lavenderhatch-files/src/mesh/reader.rs
+++ b/crates/lavenderhatch-files/src/mesh/reader.rs
@@ -49,7 +49,7 @@
                     Ok(mesh) => return Ok(mesh),
                     Err(faults) => faults.iter().for_each(|fault| self.add_mesh_fault(fault)),
                 },
-                Err(err) => self.add_number_fault(&err),
+                Err(err) => self.add_type_fault(&err),
             }
         }
         self.faults.sort();
@@ -184,18 +184,17 @@
         ));
     }
 
-    /// The tables admit any whole number; the types behind them are narrower.
-    fn add_number_fault(&mut self, err: &serde_json::Error) {
+    /// The tables admit only what the types behind them can store; a difference between the two is
+    /// reported at the first place of the set.
+    fn add_type_fault(&mut self, err: &serde_json::Error) {
         let first = self.places.values().next().cloned();
         let place = first.unwrap_or(Place {
             file: "mesh".to_owned(),
             line: 1,
             column: 1,
         });
-        self.faults.push(FileFault::new(
-            place,
-            err.to_string(),
-            "use a smaller number",
-        ));
+        let remedy = "compare the values with the file format reference";
+        self.faults
+            .push(FileFault::new(place, err.to_string(), remedy));
     }
 }
--- a/crates/lavenderhatch-files/src/mesh/tables.rs
+++ b/crates/lavenderhatch-files/src/mesh/tables.rs
@@ -4,7 +4,7 @@
 
 const KEY_POLICIES: &[&str] = &["optional", "required"];
 
-const SERVICE: &[Field] = &[Field::required("slots", FieldType::Integer)];
+const SERVICE: &[Field] = &[Field::required("slots", FieldType::SmallInteger)];
 
 const ROUTE: &[Field] = &[
     Field::required("path", FieldType::Text),
@@ -18,7 +18,7 @@
 
 const RANK: &[Field] = &[
     Field::required("target_ms", FieldType::Integer),
-    Field::required("worth", FieldType::Integer),
+    Field::required("worth", FieldType::SmallInteger),
     Field::required("share", FieldType::Number),
 ];
 
@@ -31,8 +31,8 @@
 pub(super) const LIMITS: &[Field] = &[
     Field::optional("retry_budget", FieldType::Number),
     Field::optional("max_body_bytes", FieldType::Integer),
-    Field::optional("max_queue", FieldType::Integer),
-    Field::optional("claim_retention_h", FieldType::Integer),
+    Field::optional("max_queue", FieldType::SmallInteger),
+    Field::optional("claim_retention_h", FieldType::SmallInteger),
 ];
 
 /// Name of the section that holds one object without a name.
--- /dev/null
+++ b/crates/lavenderhatch-files/tests/testsuite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the parsers of mesh files and settings.
+
+#![allow(clippy::unwrap_used)]
+
+mod malformed;
+mod places;
--- /dev/null
+++ b/crates/lavenderhatch-files/tests/testsuite/places.rs
@@ -0,0 +1,115 @@
+//! Each fault has the place at which an operator mends it.
+
+use lavenderhatch_files::{FileFault, Source, parse_mesh, parse_settings};
+use rstest::rstest;
+
+/// Stands for the place of the fault in a text.
+const MARK: char = '^';
+
+/// Removes the mark from a text and gives its line and column.
+fn unmark(text: &str) -> (String, (usize, usize)) {
+    let (before, after) = text.split_once(MARK).unwrap();
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().unwrap().chars().count() + 1;
+    (format!("{before}{after}"), (line, column))
+}
+
+fn assert_fault_at(faults: &[FileFault], place: (usize, usize), message: &str) {
+    let found = faults
+        .iter()
+        .any(|fault| (fault.line, fault.column) == place && fault.message.contains(message));
+    assert!(found, "no fault {message:?} at {place:?}: {faults:#?}");
+}
+
+const RANK: &str = r#""ranks": { "r": { "target_ms": 1, "worth": 1, "share": 0.5 } }"#;
+const SERVICE: &str = r#""services": { "s": { "slots": 1 } }"#;
+
+fn route(fields: &str) -> String {
+    format!("{{ {RANK}, {SERVICE},\n \"routes\": {{ \"é\": 1, \"a\": {{ {fields} }} }} }}")
+        .replace("\"é\": 1, ", "")
+}
+
+/// Guards against faults that name another place than the one to mend.
+#[rstest]
+#[case::syntax("{ \"ranks\": ^} }", "")]
+#[case::no_object("^[1]", "no object")]
+#[case::unknown_section("{\n  ^\"rank\": {} }", "unknown key \"rank\"")]
+#[case::unknown_key(
+    r#"{ "services": { "s": { "slots": 1, ^"slot": 2 } } }"#,
+    "unknown key"
+)]
+#[case::after_wide_character("{ /* é */ ^\"rank\": {} }", "unknown key")]
+#[case::missing_key(r#"{ "services": { "s": ^{ } } }"#, "\"slots\" is missing")]
+#[case::repeated_key(
+    r#"{ "services": { "s": { "slots": 1, ^"slots": 2 } } }"#,
+    "stands twice"
+)]
+#[case::repeated_name(
+    r#"{ "services": { "s": { "slots": 1 }, ^"s": { "slots": 1 } } }"#,
+    "twice"
+)]
+#[case::wrong_type(r#"{ "services": { "s": { "slots": ^"1" } } }"#, "whole number")]
+#[case::negative(r#"{ "services": { "s": { "slots": ^-1 } } }"#, "whole number")]
+#[case::large_number(
+    r#"{ "limits": { "max_queue": 1 }, "services": { "s": { "slots": ^9999999999 } } }"#,
+    ""
+)]
+#[case::endless_number(r#"{ "limits": { "max_queue": 1, "retry_budget": ^1e999 } }"#, "")]
+#[case::out_of_range(r#"{ "services": { "s": { "slots": ^0 } } }"#, "0 slots")]
+#[case::bad_name(r#"{ "services": { ^"S": { "slots": 1 } } }"#, "name \"S\"")]
+#[case::not_an_object(r#"{ "services": { "s": ^1 } }"#, "not an object")]
+#[case::bad_time(r#"{ "stops": { "s": { "backend_server": "o", "start": ^"x", "deadline": "2026-01-01T00:00:00Z" } } }"#, "not a time")]
+#[case::early_deadline(r#"{ "stops": { "s": { "backend_server": "o", "start": "2026-01-02T00:00:00Z", "deadline": ^"2026-01-01T00:00:00Z" } } }"#, "not after")]
+#[case::shares(r#"{ "ranks": { "r": { "target_ms": 1, "worth": 1, "share": ^0.6 }, "q": { "target_ms": 1, "worth": 1, "share": 0.6 } } }"#, "add up to 1.200")]
+#[case::limits(r#"{ "limits": { "retry_budget": ^2 } }"#, "a budget of 2")]
+#[case::dangling_service(&route(r#""path": "/", "service": ^"gone", "rank": "r", "timeout_ms": 1, "idempotent": true"#), "\"gone\" is not described")]
+#[case::dangling_rank(&route(r#""path": "/", "service": "s", "rank": ^"gone", "timeout_ms": 1, "idempotent": true"#), "\"gone\" is not described")]
+#[case::path(&route(r#""path": ^"x", "service": "s", "rank": "r", "timeout_ms": 1, "idempotent": true"#), "path \"x\"")]
+#[case::method(&route(r#""path": "/", "methods": ^["get"], "service": "s", "rank": "r", "timeout_ms": 1, "idempotent": true"#), "A-Z")]
+#[case::timeout(&route(r#""path": "/", "service": "s", "rank": "r", "timeout_ms": ^0, "idempotent": true"#), "time-out of 0")]
+#[case::key(&route(r#""path": "/", "service": "s", "rank": "r", "timeout_ms": 1, "idempotent": true, "key": ^"x""#), "not known")]
+fn mesh_fault_has_its_place(#[case] marked: &str, #[case] message: &str) {
+    let (text, place) = unmark(marked);
+    let faults = parse_mesh(&[Source::new("f", text)]).unwrap_err();
+    assert_fault_at(&faults, place, message);
+}
+
+/// Guards against faults of a set that name the wrong file.
+#[test]
+fn repeated_object_names_both_files() {
+    let source = |name: &str| Source::new(name, format!("{{ {SERVICE} }}"));
+    let faults = parse_mesh(&[source("a"), source("b")]).unwrap_err();
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].file, "b");
+    assert!(
+        faults[0].message.contains("described at a:1:"),
+        "{}",
+        faults[0]
+    );
+}
+
+/// Guards against settings whose faults name another place than the one to mend.
+#[rstest]
+#[case::unknown_key(r#"^"nod": "x","#, "unknown key")]
+#[case::address(r#""caller_addr": ^"localhost","#, "not an address")]
+#[case::url(r#""platform": ^["https://127.0.0.1:1"],"#, "not a URL")]
+#[case::no_url(r#""platform": ^[],"#, "is empty")]
+#[case::range(r#"^"peer_threads": 65,"#, "out of range")]
+#[case::large_number(r#""idle_timeout_ms": ^99999999999999999999,"#, "whole number")]
+fn settings_fault_has_its_place(#[case] line: &str, #[case] message: &str) {
+    let rest = r#""node": "n", "zone": "z", "region": "r", "service": "s", "peer_addr": "[::1]:1",
+        "admin_addr": "[::1]:2", "backend_addr": "[::1]:3""#;
+    let mut other = String::new();
+    for (key, value) in [
+        ("caller_addr", "\"[::1]:4\""),
+        ("platform", "[\"http://[::1]:5\"]"),
+    ] {
+        if !line.contains(key) {
+            other += &format!(", \"{key}\": {value}");
+        }
+    }
+    let (text, place) = unmark(&format!("{{\n {line}\n {rest}{other} }}"));
+    let faults = parse_settings(&Source::new("f", text)).unwrap_err();
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert_fault_at(&faults, place, message);
+}
