Test parts, the audit trail, explanations and malformed messages

Tests of parts found that a second lost answer made an apply give up, because a write that had taken effect was written again; such a write is now recognized by the version of the part. A version at the end of its range no longer overflows. Writing only absent parts makes part_that_another_operator_uses_again_stays fail, as it should.

--- a/crates/lavenderhatch-core/src/version.rs
+++ b/crates/lavenderhatch-core/src/version.rs
@@ -18,7 +18,7 @@
 
     /// The version that follows this one.
     pub fn next(self) -> Version {
-        Version(self.0 + 1)
+        Version(self.0.saturating_add(1))
     }
 }
 
--- a/crates/lavenderhatch-decide/src/audit.rs
+++ b/crates/lavenderhatch-decide/src/audit.rs
@@ -49,7 +49,8 @@
     for event in events {
         let event = bounded(event);
         if !merged.events.iter().any(|known| is_same(known, &event)) && !is_older(trail, &event) {
-            *merged.totals.entry(event.action).or_default() += 1;
+            let total = merged.totals.entry(event.action).or_default();
+            *total = total.saturating_add(1);
             merged.events.push(event);
         }
     }
@@ -59,7 +60,7 @@
     merged.events.sort_by_key(|event| event.at);
     let surplus = merged.events.len().saturating_sub(capacity);
     merged.events.drain(..surplus);
-    merged.dropped += surplus as u64;
+    merged.dropped = merged.dropped.saturating_add(surplus as u64);
     Some(merged)
 }
 
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/audit.rs
@@ -0,0 +1,102 @@
+//! The audit trail of a zone.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lavenderhatch_core::audit::{AuditAction, AuditEvent, AuditLog};
+use lavenderhatch_core::member::Members;
+use lavenderhatch_core::{
+    Incarnation, MemberRecord, MemberState, NodeId, Region, ServiceName, Timestamp, Version, Zone,
+};
+use lavenderhatch_decide::audit::{is_zone_writer, merge};
+use rstest::rstest;
+
+fn event(at: u64, action: AuditAction, reason: &str) -> AuditEvent {
+    AuditEvent {
+        at: Timestamp(at),
+        actor: "ada".to_owned(),
+        action,
+        object: "mesh".to_owned(),
+        from: None,
+        to: Some(Version(at)),
+        reason: reason.to_owned(),
+    }
+}
+
+/// Guards against an event that is entered twice, and against one that is taken for another.
+#[rstest]
+#[case::same(event(1, AuditAction::Accepted, "a"), 1)]
+#[case::cut_reason(event(1, AuditAction::Accepted, "a longer one"), 1)]
+#[case::other_version(event(2, AuditAction::Accepted, "a"), 2)]
+#[case::other_action(event(1, AuditAction::VersionSwitched, "a"), 2)]
+#[case::earlier(event(0, AuditAction::Accepted, "a"), 2)]
+fn event_is_entered_once(#[case] second: AuditEvent, #[case] expected: usize) {
+    let first = event(1, AuditAction::Accepted, "a");
+    let trail = merge(&AuditLog::default(), &[first], 9).unwrap();
+    let merged = merge(&trail, &[second], 9).unwrap_or(trail);
+    assert_eq!(merged.events.len(), expected);
+    assert!(merged.events.is_sorted_by_key(|event| event.at));
+}
+
+/// Guards against a dropped event that comes back and pushes out a newer one.
+#[test]
+fn dropped_event_does_not_return() {
+    let events: Vec<AuditEvent> = (1..=4)
+        .map(|at| event(at, AuditAction::Accepted, "a"))
+        .collect();
+    let trail = merge(&AuditLog::default(), &events, 2).unwrap();
+    assert_eq!((trail.events.as_slice(), trail.dropped), (&events[2..], 2));
+    assert_eq!(merge(&trail, &events, 2), None);
+}
+
+fn record(id: &str, zone: &str, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        id: NodeId::new(id).unwrap(),
+        incarnation: Incarnation(1),
+        seq: 1,
+        zone: Zone::new(zone).unwrap(),
+        region: Region::new("r").unwrap(),
+        service: ServiceName::new("s").unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        admin_addr: "127.0.0.1:2".parse().unwrap(),
+        slots: 1,
+        state,
+    }
+}
+
+/// Guards against a zone without a writer, and against two writers with the same view.
+#[test]
+fn each_zone_has_one_writer() {
+    let records: Vec<MemberRecord> = (0..12)
+        .map(|n| {
+            record(
+                &format!("n{n}"),
+                ["a", "b", "c"][n % 3],
+                MemberState::Serving,
+            )
+        })
+        .collect();
+    let by_id: BTreeMap<_, _> = records
+        .iter()
+        .map(|record| (record.id.clone(), Arc::new(record.clone())))
+        .collect();
+    let mut members = Members {
+        by_id,
+        ..Members::default()
+    };
+    let writers = |members: &Members, zone: &str| -> Vec<NodeId> {
+        let of_zone = records.iter().filter(|record| record.zone.as_str() == zone);
+        let is_live = |record: &&MemberRecord| members.live().any(|live| live.id == record.id);
+        let writers = of_zone
+            .filter(is_live)
+            .filter(|record| is_zone_writer(members, record));
+        writers.map(|record| record.id.clone()).collect()
+    };
+    for zone in ["a", "b", "c"] {
+        let [writer] = writers(&members, zone).try_into().unwrap();
+        let failed = record(writer.as_str(), zone, MemberState::Failed);
+        members.by_id.insert(writer.clone(), Arc::new(failed));
+        let [next] = writers(&members, zone).try_into().unwrap();
+        assert_ne!(next, writer);
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/explain.rs
@@ -0,0 +1,91 @@
+//! Explanations agree with what the deciding code does.
+
+use std::sync::Arc;
+
+use lavenderhatch_core::endpoint::{Endpoint, Endpoints, FULL_WEIGHT, ServiceEndpoints};
+use lavenderhatch_core::error_kind::Outcome;
+use lavenderhatch_core::{
+    ConfigSnapshot, ErrorKind, Incarnation, Mesh, NodeId, RouteName, ServiceName, Timestamp,
+    Version, Zone,
+};
+use lavenderhatch_decide::explain::{CallRecord, explain_call, explain_route};
+use lavenderhatch_decide::routing::choose;
+use rstest::rstest;
+
+fn config(version: u64) -> ConfigSnapshot {
+    let parts = r#"{
+        "ranks": { "r": { "target_ms": 1, "worth": 1, "share": 0.5 } },
+        "services": { "s": { "slots": 1 } },
+        "routes": { "a": { "path": "/a", "service": "s", "rank": "r", "timeout_ms": 9,
+                           "idempotent": true } } }"#;
+    let mesh = Mesh::check(serde_json::from_str(parts).unwrap()).unwrap();
+    ConfigSnapshot::new(Version(version), Arc::new(mesh), Timestamp(0))
+}
+
+fn endpoints(names: &[&str]) -> Endpoints {
+    let endpoint = |name: &&str| Endpoint {
+        node: NodeId::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("z").unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        slots: 4,
+        weight: FULL_WEIGHT,
+        is_last_resort: false,
+        counters: Arc::default(),
+    };
+    let service = ServiceEndpoints {
+        endpoints: names.iter().map(endpoint).collect(),
+    };
+    let mut endpoints = Endpoints::default();
+    endpoints
+        .by_service
+        .insert(ServiceName::new("s").unwrap(), service);
+    endpoints
+}
+
+/// Guards against an explanation that names another backend server than the one chosen.
+#[rstest]
+#[case::none(&[], Some(ErrorKind::NoBackend))]
+#[case::one(&["o1"], None)]
+#[case::three(&["o1", "o2", "o3"], None)]
+fn route_goes_where_the_choice_says(
+    #[case] names: &[&str],
+    #[case] refusal: Option<ErrorKind>,
+    #[values(0, 1, u64::MAX, 0x0000_0002_0000_0001)] random: u64,
+) {
+    let endpoints = endpoints(names);
+    let explained = explain_route(&config(1), &endpoints, "a", random).unwrap();
+    let chosen = choose(endpoints.of("s"), &[], random).map(|at| names[at].to_owned());
+    assert_eq!(explained.choice.map(|node| node.to_string()), chosen);
+    assert_eq!(explained.refusal, refusal);
+    assert_eq!(explained.candidates.len(), names.len());
+}
+
+/// Guards against a refused call whose explanation leaves out the reason or the later version.
+#[test]
+fn refused_call_is_explained_with_the_version_of_its_time() {
+    let record = CallRecord {
+        id: "o1-1".to_owned(),
+        at: Timestamp(5),
+        method: "GET".to_owned(),
+        path: "/b".to_owned(),
+        route: RouteName::new("gone").ok(),
+        version: Version(1),
+        status: 503,
+        outcome: Outcome::NotRun,
+        error: Some(ErrorKind::Overloaded),
+        message: "the queue of rank r is full".to_owned(),
+        duration_us: 9,
+    };
+    let config = config(2);
+    let explained = explain_call(&record, Some(&config), &endpoints(&["o1"]), 0);
+    let text = explained.reasons.join("\n");
+    for part in [
+        "version 1 sent GET \"/b\" to route gone",
+        "overloaded: the queue of rank r is full; it did not run",
+        "version 2 is in force now: no route takes GET \"/b\"",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    assert_eq!(explained.route, None);
+}
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod audit;
 mod endpoints;
+mod explain;
 mod member_fixture;
 mod orders;
 mod stops;
--- a/crates/lavenderhatch-platform/src/accept/parts.rs
+++ b/crates/lavenderhatch-platform/src/accept/parts.rs
@@ -100,9 +100,12 @@
         };
         match platform.put(name, bytes, expected) {
             Ok(_) => return Ok(()),
-            Err(PlatformError::Conflict { current }) => version = current,
-            // The content is the same whoever wrote it; a write that took effect is met as a
-            // conflict by the next one.
+            // Someone has removed the part since it was listed.
+            Err(PlatformError::Conflict { current: 0 }) => version = 0,
+            // Someone, or an earlier write of this loop, has written the part since it was listed.
+            // The content is the same. An operator who would remove it has listed it later than this
+            // one has read the root object, so that one of the two root objects is not accepted.
+            Err(PlatformError::Conflict { .. }) => return Ok(()),
             Err(err) if err.may_have_taken_effect() => {}
             Err(err) => return Err(err.into()),
         }
--- /dev/null
+++ b/crates/lavenderhatch-platform/tests/testsuite/audit.rs
@@ -0,0 +1,69 @@
+//! The audit trail in the platform.
+
+use lavenderhatch_core::audit::{AuditAction, AuditEvent};
+use lavenderhatch_core::{Timestamp, Version};
+use lavenderhatch_platform::audit::{append, read_all};
+use lavenderhatch_platform::{Faults, MemoryPlatform};
+use rstest::rstest;
+
+const NAME: &str = "audit/zone-a";
+
+fn event(at: u64) -> AuditEvent {
+    AuditEvent {
+        at: Timestamp(at),
+        actor: "ada".to_owned(),
+        action: AuditAction::Accepted,
+        object: "mesh".to_owned(),
+        from: Some(Version(at - 1)),
+        to: Some(Version(at)),
+        reason: "because".to_owned(),
+    }
+}
+
+/// Guards against events that are lost, or kept twice, when the answer to a write is lost.
+#[rstest]
+#[case::no_fault(0)]
+#[case::lost_answer(1)]
+#[case::two_lost_answers(2)]
+fn events_are_kept_once(#[case] lost_answers: u32) {
+    let platform = MemoryPlatform::default();
+    append(&platform, NAME, &[event(1)], 10).unwrap();
+    let faults = Faults {
+        lost_answers,
+        ..Faults::default()
+    };
+    platform.set_faults(faults);
+    append(&platform, NAME, &[event(1), event(2)], 10).unwrap();
+    let (_, trail) = read_all(&platform).unwrap().remove(0);
+    assert_eq!(trail.events, [event(1), event(2)]);
+}
+
+/// Guards against a trail that grows without bound, and against drops that nobody can see.
+#[test]
+fn oldest_events_are_dropped_and_counted() {
+    let platform = MemoryPlatform::default();
+    let events: Vec<AuditEvent> = (1..=5).map(event).collect();
+    for known in 1..=5 {
+        append(&platform, NAME, &events[..known], 3).unwrap();
+    }
+    let (_, trail) = read_all(&platform).unwrap().remove(0);
+    assert_eq!(trail.events, events[2..]);
+    assert_eq!(trail.dropped, 2);
+}
+
+/// Guards against an object that no platform takes: long texts and escapes count.
+#[test]
+fn full_trail_fits_into_an_object() {
+    use lavenderhatch_decide::audit::ZONE_CAPACITY;
+    let platform = MemoryPlatform::default();
+    let long = |at| AuditEvent {
+        reason: "\u{1}\"".repeat(1000),
+        actor: "é\\".repeat(1000),
+        object: "\"".repeat(1000),
+        ..event(at)
+    };
+    let events: Vec<AuditEvent> = (1..=ZONE_CAPACITY as u64 + 1).map(long).collect();
+    append(&platform, NAME, &events, ZONE_CAPACITY).unwrap();
+    let (_, trail) = read_all(&platform).unwrap().remove(0);
+    assert_eq!((trail.events.len(), trail.dropped), (ZONE_CAPACITY, 1));
+}
--- a/crates/lavenderhatch-wire/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-wire/tests/testsuite/main.rs
@@ -1,1 +1,6 @@
-//! Tests.
+//! Tests of the messages between daemons.
+
+#![allow(clippy::unwrap_used)]
+
+mod malformed;
+mod messages;
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -74,10 +74,10 @@
 /// The trails of all zones and the acceptances of the root object, each event once.
 fn read<P: Platform>(platform: &P) -> Result<History> {
     let mut events = Vec::new();
-    let mut dropped = 0;
+    let mut dropped: u64 = 0;
     for (_, trail) in read_all(platform)? {
         events.extend(trail.events);
-        dropped += trail.dropped;
+        dropped = trail.dropped.saturating_add(dropped);
     }
     if let Some((root, _)) = read_root(platform)? {
         events.extend(root.acceptances().iter().map(acceptance_event));
