--- a/crates/lavenderhatch-daemon/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/main.rs
@@ -2,5 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod audit_publisher;
 mod backend;
 mod leaving;
+mod metrics;
