Add the guide, a README that is run, and tests of the tool

The guide explains the first mesh, the file format, settings, the tool and operations. A test extracts each shell block of the guide and the README and runs it in order; key references are compared with the parsers. The demonstration waits until all of its daemons know each other; in one run it ended after three of five.

--- a/crates/lavenderhatch-daemon/tests/testsuite/metrics.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/metrics.rs
@@ -64,8 +64,10 @@
         in_flight: 2,
         ranks: [(RankName::new("urgent").unwrap(), rank)].into(),
     });
-    let mut audit = AuditLog::default();
-    audit.dropped = 7;
+    let mut audit = AuditLog {
+        dropped: 7,
+        ..AuditLog::default()
+    };
     audit.push(AuditEvent {
         at: Timestamp(1),
         actor: "o1".to_owned(),
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -110,13 +110,20 @@
     };
     let version = accept(cluster.platform(), &proposal, now)?;
     let start = Instant::now();
-    let progress = watch(cluster.admin_addr(), version, CONVERGENCE_LIMIT, |_| {})?;
+    let all = cluster.nodes().len();
+    let progress = watch(
+        cluster.admin_addr(),
+        version,
+        CONVERGENCE_LIMIT,
+        all,
+        |_| {},
+    )?;
     let (held, members) = (progress.held(), progress.members());
     let millis = start.elapsed().as_millis();
     println!(
         "version {version} ({what}): in force on {held} of {members} daemons after {millis} ms"
     );
-    Ok(held >= cluster.nodes().len())
+    Ok(held >= all)
 }
 
 /// Lets the callers run for a time and prints what they got.
@@ -205,6 +212,7 @@
         cluster.platform_addr()
     );
     println!("export LAVENDERHATCH_DAEMON={}", cluster.admin_addr());
+    println!("export CALLERS={}", cluster.caller_addr());
     println!("the mesh runs until it is interrupted (Ctrl-C)");
     let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
     signals.forever().next();
--- a/src/cmd/demo/cluster.rs
+++ b/src/cmd/demo/cluster.rs
@@ -1,7 +1,7 @@
 //! The platform stand-in, daemons and back ends of the demonstration.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use eyre::{Result, eyre};
 use lavenderhatch_core::{NodeId, Region, ServiceName, Zone};
@@ -9,7 +9,7 @@
 use lavenderhatch_files::Settings;
 use lavenderhatch_platform::server::PlatformServer;
 use lavenderhatch_platform::{HttpPlatform, MemoryPlatform};
-use lavenderhatch_standin::{BackendStandin, Behaviour};
+use lavenderhatch_standin::{BackendStandin, Behaviour, next_loopback_ip};
 
 /// Backend servers: name, service and availability zone.
 const NODES: &[(&str, &str, &str)] = &[
@@ -19,6 +19,8 @@
     ("catalogue-1", "catalogue", "zone-b"),
     ("catalogue-2", "catalogue", "zone-a"),
 ];
+/// Port of each stand-in and daemon; they differ by address.
+const PORT: u16 = 7000;
 /// Region of both zones.
 const REGION: &str = "region-1";
 /// Time that a back end takes for one request, in milliseconds.
@@ -52,7 +54,7 @@
 impl Cluster {
     /// Starts everything on free ports of the loopback address.
     pub(super) fn start() -> Result<Self> {
-        let server = PlatformServer::bind(free_addr()?, MemoryPlatform::default())?;
+        let server = PlatformServer::bind(own_addr(), MemoryPlatform::default())?;
         let url = format!("http://{}", server.addr());
         let nodes = NODES
             .iter()
@@ -82,7 +84,16 @@
 
     /// The administration port of the last daemon, which is not the one that stops.
     pub(super) fn admin_addr(&self) -> SocketAddr {
-        self.nodes[self.nodes.len() - 1].admin_addr
+        self.last().admin_addr
+    }
+
+    /// The port for callers of the same daemon.
+    pub(super) fn caller_addr(&self) -> SocketAddr {
+        self.last().caller_addr
+    }
+
+    fn last(&self) -> &Node {
+        &self.nodes[self.nodes.len() - 1]
     }
 
     pub(super) fn admin_addr_of(&self, name: &str) -> Result<SocketAddr> {
@@ -109,15 +120,15 @@
             service_ms: SERVICE_MS,
             ..Behaviour::default()
         };
-        let backend = BackendStandin::bind(free_addr()?, name, behaviour)?;
+        let backend = BackendStandin::bind(own_addr(), name, behaviour)?;
         let settings = Settings {
             node: NodeId::new(name)?,
             zone: Zone::new(zone)?,
             region: Region::new(REGION)?,
             service: ServiceName::new(service)?,
-            caller_addr: free_addr()?,
-            peer_addr: free_addr()?,
-            admin_addr: free_addr()?,
+            caller_addr: own_addr(),
+            peer_addr: own_addr(),
+            admin_addr: own_addr(),
             backend_addr: backend.addr(),
             platform: vec![platform.to_owned()],
             max_connections: MAX_CONNECTIONS,
@@ -137,7 +148,7 @@
     }
 }
 
-/// A loopback address that was free a moment ago.
-fn free_addr() -> Result<SocketAddr> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+/// A loopback address with a port that nothing else uses.
+fn own_addr() -> SocketAddr {
+    (next_loopback_ip(), PORT).into()
 }
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -44,7 +44,7 @@
     let daemon = target::daemon(args)?;
     let bar = progress_bar(target::is_json(args));
     let start = Instant::now();
-    let progress = watch(daemon, version, timeout, |progress| show(&bar, progress));
+    let progress = watch(daemon, version, timeout, 1, |progress| show(&bar, progress));
     bar.finish_and_clear();
     let progress = progress?;
     if target::is_json(args) {
@@ -58,11 +58,13 @@
     })
 }
 
-/// Looks until all members hold the version or the time is over, and gives the last look.
+/// Looks until all members, and at least `least` of them, hold the version or the time is over, and
+/// gives the last look.
 pub(super) fn watch(
     daemon: SocketAddr,
     version: Version,
     timeout: Duration,
+    least: usize,
     mut seen: impl FnMut(&FleetProgress),
 ) -> Result<FleetProgress> {
     let deadline = Instant::now() + timeout;
@@ -70,7 +72,8 @@
     loop {
         let progress = read_progress(daemon, version)?;
         seen(&progress);
-        if progress.is_complete() || Instant::now() >= deadline {
+        let is_reached = progress.is_complete() && progress.held() >= least;
+        if is_reached || Instant::now() >= deadline {
             return Ok(progress);
         }
         let _ = ticks.recv();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,5 +6,8 @@
 mod endpoints;
 mod orders;
 mod stops;
+mod demo;
+mod guide;
 mod support;
+mod tool;
 mod whole_path;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -4,8 +4,10 @@
 mod cluster;
 mod poll;
 mod raw;
+mod script;
 
 pub(crate) use callers::{Call, Callers};
 pub(crate) use cluster::{Cluster, Node};
 pub(crate) use poll::poll;
 pub(crate) use raw::RawCaller;
+pub(crate) use script::{Page, Shell};
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -124,16 +124,24 @@
     pub(crate) fn tool(&self, args: &[&str]) -> Output {
         Command::new(env!("CARGO_BIN_EXE_lavenderhatch"))
             .args(args)
-            .env(
-                "LAVENDERHATCH_PLATFORM",
-                format!("http://{}", self.platform_addr),
-            )
-            .env("LAVENDERHATCH_DAEMON", self.nodes[0].admin_addr.to_string())
+            .envs(self.env())
             .stdin(Stdio::null())
             .output()
             .unwrap()
     }
 
+    /// Variables that tell the operator's tool where the platform and the first daemon are.
+    pub(crate) fn env(&self) -> Vec<(String, String)> {
+        let node = &self.nodes[0];
+        let platform = format!("http://{}", self.platform_addr);
+        let env = [
+            ("LAVENDERHATCH_PLATFORM", platform),
+            ("LAVENDERHATCH_DAEMON", node.admin_addr.to_string()),
+            ("CALLERS", node.caller_addr.to_string()),
+        ];
+        env.map(|(name, value)| (name.to_owned(), value)).to_vec()
+    }
+
     /// Applies a mesh, which must be accepted.
     pub(crate) fn apply(&self, mesh: &str) {
         let dir = self.write_mesh("mesh", mesh);
--- /dev/null
+++ b/tests/testsuite/tool.rs
@@ -0,0 +1,157 @@
+//! The operator's tool against running daemons.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value as Json;
+
+use crate::support::{Cluster, poll};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+const MESH: &str = r#"{
+  "ranks": { "urgent": { "target_ms": 50, "worth": 100, "share": 0.4 } },
+  "services": { "orders": { "slots": 12 }, "catalogue": { "slots": 12 } },
+  "routes": { "search": { "path": "/search", "service": "catalogue", "rank": "urgent",
+                          "timeout_ms": 2000, "idempotent": true } },
+}"#;
+
+fn json(cluster: &Cluster, args: &[&str]) -> Json {
+    let args = [args, &["--output", "json"]].concat();
+    let output = cluster.tool(&args);
+    assert!(output.status.success(), "{args:?}: {output:?}");
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+/// Guards against a set that reads back as another one than was applied, and against a difference
+/// that is not shown.
+#[test]
+fn set_reads_back_and_differs_only_where_it_was_changed() {
+    let cluster = Cluster::start(&["orders"]);
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    let dir = cluster.write_mesh("unused", MESH).with_file_name("back");
+    let dir = dir.to_str().unwrap();
+    assert!(cluster.tool(&["show", "--into", dir]).status.success());
+    assert_eq!(
+        json(&cluster, &["diff", dir])["changes"],
+        Json::Array(vec![])
+    );
+    let changed = cluster.write_mesh("changed", &MESH.replace("2000", "3000"));
+    let diff = json(&cluster, &["diff", changed.to_str().unwrap()]);
+    let expected = serde_json::json!([
+        { "path": "routes.search.timeout_ms", "from": 2000, "to": 3000 }
+    ]);
+    assert_eq!(diff["changes"], expected);
+    assert!(
+        !cluster.tool(&["show", "--into", dir]).status.success(),
+        "not empty"
+    );
+}
+
+/// Guards against a trail that loses who changed what and why, or whose filters let other events
+/// pass.
+#[test]
+fn history_names_accepted_and_rejected_sets() {
+    let cluster = Cluster::start(&["orders"]);
+    let good = cluster.write_mesh("good", MESH);
+    let bad = cluster.write_mesh("bad", r#"{ "services": { "a": { "slots": 0 } } }"#);
+    let apply = |dir: &std::path::Path, author: &str| {
+        let dir = dir.to_str().unwrap();
+        let args = [
+            "apply",
+            dir,
+            "--author",
+            author,
+            "--reason",
+            "a good reason",
+        ];
+        cluster.tool(&args).status.code()
+    };
+    assert_eq!(apply(&good, "ada"), Some(0));
+    assert_eq!(apply(&bad, "bob"), Some(3));
+    assert_eq!(apply(&good, "cyd"), Some(4));
+    let of = |args: &[&str]| -> Vec<(String, String)> {
+        let history = json(&cluster, &[&["history"], args].concat());
+        let events = history["events"].as_array().unwrap().clone();
+        let operators = events.iter().filter(|event| event["actor"] != "n0");
+        let text = |event: &Json, key: &str| event[key].as_str().unwrap().to_owned();
+        operators
+            .map(|event| (text(event, "actor"), text(event, "action")))
+            .collect()
+    };
+    let event = |actor: &str, action: &str| (actor.to_owned(), action.to_owned());
+    let all = [
+        event("ada", "accepted"),
+        event("bob", "rejected"),
+        event("cyd", "rejected"),
+    ];
+    assert_eq!(of(&[]), all);
+    assert_eq!(of(&["--version", "1"]), all[..1]);
+    assert_eq!(of(&["--since", "1h", "--object", "mesh"]), all);
+    assert_eq!(of(&["--until", "1h"]), []);
+    assert_eq!(of(&["--object", "other"]), []);
+    let what = "events of the daemon in the lasting trail";
+    poll(LIMIT, what, || {
+        let history = json(&cluster, &["history"]);
+        let events = history["events"].as_array()?.clone();
+        let switched = events.iter().find(|event| event["actor"] == "n0")?;
+        assert_eq!(switched["action"], "version-switched");
+        Some(())
+    });
+}
+
+/// Guards against a refused call that nobody can explain.
+#[test]
+fn calls_are_explained() {
+    let cluster = Cluster::start(&["orders"]);
+    cluster.apply(MESH);
+    cluster.wait_for_version(1);
+    let url = format!("http://{}/search", cluster.nodes[0].caller_addr);
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let res = agent.get(url).call().unwrap();
+    let id = res.headers()["lavenderhatch-call-id"].to_str().unwrap();
+    assert!(id.starts_with("n0-"), "{id}");
+    let call = json(&cluster, &["explain", "call", id]);
+    assert_eq!(call["record"]["error"], "no-backend");
+    assert_eq!(call["route"]["refusal"], "no-backend");
+    let route = json(&cluster, &["explain", "route", "search"]);
+    assert_eq!(route["candidates"], Json::Array(vec![]));
+    let unknown = cluster.tool(&["explain", "call", "none/such"]);
+    assert_eq!(unknown.status.code(), Some(1));
+}
+
+/// Guards against a wait that ends before the version is in force, or that never ends.
+#[rstest]
+#[case::in_force("1", Some(0))]
+#[case::never("2", Some(5))]
+fn wait_ends_when_the_version_is_in_force_everywhere(
+    #[case] version: &str,
+    #[case] expected: Option<i32>,
+) {
+    let cluster = Cluster::start(&["orders", "catalogue"]);
+    cluster.apply(MESH);
+    let timeout = if expected == Some(0) { "20s" } else { "1s" };
+    let output = cluster.tool(&["wait", version, "--timeout", timeout]);
+    assert_eq!(output.status.code(), expected, "{output:?}");
+    if expected == Some(0) {
+        let status = json(&cluster, &["status"]);
+        assert_eq!(status["zones"]["zone-a"]["held"], 1);
+        assert_eq!(status["zones"]["zone-b"]["held"], 1);
+        assert_eq!(status["platform"]["is_reachable"], true);
+    }
+}
+
+/// Guards against a shell whose completions cannot be made.
+#[rstest]
+fn completions_are_made(#[values("bash", "zsh", "fish")] shell: &str) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_lavenderhatch"))
+        .args(["completions", shell])
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success() && text.contains("history"));
+}
