--- a/crates/lavenderhatch-daemon/src/metrics/platform.rs
+++ b/crates/lavenderhatch-daemon/src/metrics/platform.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform, observed around its client.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use eyre::Result;
@@ -35,12 +35,14 @@
     durations: HistogramVec,
     bytes: IntCounterVec,
     reachable: IntGauge,
-    times: Arc<Times>,
+    last: Arc<LastCalls>,
 }
 
-/// In milliseconds since the Unix epoch, zero for never.
+/// What became of the last calls. Times are in milliseconds since the Unix epoch, zero for never.
 #[derive(Default)]
-struct Times {
+struct LastCalls {
+    /// Kept beside the times because two calls may end in the same millisecond.
+    is_answered: AtomicBool,
     answer: AtomicU64,
     failure: AtomicU64,
 }
@@ -78,7 +80,7 @@
             durations: register(registry, durations)?,
             bytes: register(registry, bytes)?,
             reachable: register(registry, reachable)?,
-            times: Arc::default(),
+            last: Arc::default(),
         })
     }
 
@@ -88,12 +90,10 @@
             0 => None,
             millis => Some(Timestamp(millis)),
         };
-        let last_answer = time(&self.times.answer);
-        let last_failure = time(&self.times.failure);
         PlatformStatus {
-            is_reachable: last_answer.is_some() && last_answer >= last_failure,
-            last_answer,
-            last_failure,
+            is_reachable: self.last.is_answered.load(Ordering::Relaxed),
+            last_answer: time(&self.last.answer),
+            last_failure: time(&self.last.failure),
         }
     }
 
@@ -116,9 +116,11 @@
         }
         let outcome = result.as_ref().map_or_else(outcome, |_| "ok");
         self.calls.with_label_values(&[operation, outcome]).inc();
-        let time = match result.as_ref().is_err_and(is_outage) {
-            true => &self.times.failure,
-            false => &self.times.answer,
+        let is_answered = !result.as_ref().is_err_and(is_outage);
+        self.last.is_answered.store(is_answered, Ordering::Relaxed);
+        let time = match is_answered {
+            true => &self.last.answer,
+            false => &self.last.failure,
         };
         time.store(
             Timestamp::from_system_clock().as_millis(),
