--- a/crates/lavenderhatch-daemon/src/admin/port.rs
+++ b/crates/lavenderhatch-daemon/src/admin/port.rs
@@ -102,13 +102,35 @@
     }
     let record = object
         .strip_prefix("call/")
-        .and_then(|id| telemetry.recent.find(id));
+        .and_then(|id| telemetry.recent.find(&decode(id)));
     match record {
         Some(record) => json(&explain_call(&record, config, &endpoints, random)),
         None => status(StatusCode::NOT_FOUND),
     }
 }
 
+/// Decodes the percent encoding of one segment of a path. Other text is kept as it is.
+fn decode(segment: &str) -> String {
+    let mut bytes = Vec::with_capacity(segment.len());
+    let mut rest = segment;
+    while let Some((plain, encoded)) = rest.split_once('%') {
+        bytes.extend_from_slice(plain.as_bytes());
+        let code = encoded.get(..2);
+        let byte = code.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match byte {
+            Some(byte) => bytes.push(byte),
+            None => bytes.push(b'%'),
+        }
+        rest = if byte.is_some() {
+            &encoded[2..]
+        } else {
+            encoded
+        };
+    }
+    bytes.extend_from_slice(rest.as_bytes());
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn metrics(board: &Blackboard, telemetry: &Telemetry) -> Response<Body> {
     match telemetry.encode(board) {
         Ok(text) => content("text/plain; version=0.0.4", text.into_bytes()),
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -9,11 +9,11 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use crossbeam::channel::{after, tick};
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Report, Result, WrapErr, eyre};
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_core::drain::{StopPhase, StopStatus};
 use lavenderhatch_daemon::admin::DaemonStatus;
-use lavenderhatch_files::{Source, parse_mesh};
+use lavenderhatch_files::{FileFault, Source, parse_mesh};
 use lavenderhatch_platform::accept::{Proposal, accept};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -92,14 +92,18 @@
     }
 }
 
+fn first_fault(faults: &[FileFault]) -> Report {
+    match faults.first() {
+        Some(fault) => eyre!("{fault}"),
+        None => eyre!("faults without a description"),
+    }
+}
+
 /// Has the sample mesh accepted, with a planned stop if there is one, and waits for it.
 fn put_in_force(cluster: &Cluster, stop: Option<Source>, what: &str) -> Result<bool> {
     let mut sources = vec![Source::new("mesh.jsonc", MESH)];
     sources.extend(stop);
-    let mesh = parse_mesh(&sources).map_err(|faults| match faults.first() {
-        Some(fault) => eyre!("{fault}"),
-        None => eyre!("the sample mesh has faults"),
-    })?;
+    let mesh = parse_mesh(&sources).map_err(|faults| first_fault(&faults))?;
     let now = Timestamp::from_system_clock();
     let nonce = format!("demo-{}-{}", now.as_millis(), std::process::id());
     let proposal = Proposal {
--- a/src/cmd/demo/cluster.rs
+++ b/src/cmd/demo/cluster.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, eyre};
-use lavenderhatch_core::{NodeId, Region, ServiceName, Zone};
 use lavenderhatch_daemon::Daemon;
-use lavenderhatch_files::Settings;
+use lavenderhatch_files::{Source, parse_settings};
 use lavenderhatch_platform::server::PlatformServer;
 use lavenderhatch_platform::{HttpPlatform, MemoryPlatform};
 use lavenderhatch_standin::{BackendStandin, Behaviour, next_loopback_ip};
 
+use super::first_fault;
+
 /// Backend servers: name, service and availability zone.
 const NODES: &[(&str, &str, &str)] = &[
     ("orders-1", "orders", "zone-a"),
@@ -25,10 +26,6 @@
 const REGION: &str = "region-1";
 /// Time that a back end takes for one request, in milliseconds.
 const SERVICE_MS: u64 = 5;
-/// Most connections of callers to one daemon.
-const MAX_CONNECTIONS: usize = 256;
-/// Time after which a silent connection is closed, in milliseconds.
-const IDLE_TIMEOUT_MS: u64 = 30_000;
 /// Threads of one daemon for the links to others.
 const PEER_THREADS: usize = 1;
 
@@ -121,20 +118,20 @@
             ..Behaviour::default()
         };
         let backend = BackendStandin::bind(own_addr(), name, behaviour)?;
-        let settings = Settings {
-            node: NodeId::new(name)?,
-            zone: Zone::new(zone)?,
-            region: Region::new(REGION)?,
-            service: ServiceName::new(service)?,
-            caller_addr: own_addr(),
-            peer_addr: own_addr(),
-            admin_addr: own_addr(),
-            backend_addr: backend.addr(),
-            platform: vec![platform.to_owned()],
-            max_connections: MAX_CONNECTIONS,
-            idle_timeout_ms: IDLE_TIMEOUT_MS,
-            peer_threads: PEER_THREADS,
-        };
+        let settings = serde_json::json!({
+            "node": name,
+            "zone": zone,
+            "region": REGION,
+            "service": service,
+            "caller_addr": own_addr(),
+            "peer_addr": own_addr(),
+            "admin_addr": own_addr(),
+            "backend_addr": backend.addr(),
+            "platform": [platform],
+            "peer_threads": PEER_THREADS,
+        });
+        let settings = parse_settings(&Source::new(name, settings.to_string()));
+        let settings = settings.map_err(|faults| first_fault(&faults))?;
         let daemon = Daemon::spawn(&settings, HttpPlatform::open(&settings.platform))?;
         Ok(Self {
             name,
--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -112,7 +112,7 @@
         .http_status_as_error(false)
         .build()
         .into();
-    let res = agent.get(url).call().unwrap();
+    let res = agent.get(&url).call().unwrap();
     let id = res.headers()["lavenderhatch-call-id"].to_str().unwrap();
     assert!(id.starts_with("n0-"), "{id}");
     let call = json(&cluster, &["explain", "call", id]);
@@ -120,6 +120,13 @@
     assert_eq!(call["route"]["refusal"], "no-backend");
     let route = json(&cluster, &["explain", "route", "search"]);
     assert_eq!(route["candidates"], Json::Array(vec![]));
+    let chosen = "order 7/50%/?x#y";
+    let req = agent.get(&url).header("lavenderhatch-call-id", chosen);
+    req.call().unwrap();
+    assert_eq!(
+        json(&cluster, &["explain", "call", chosen])["record"]["id"],
+        chosen
+    );
     let unknown = cluster.tool(&["explain", "call", "none/such"]);
     assert_eq!(unknown.status.code(), Some(1));
 }
