Check large sets in time that grows with their size

The reader of mesh files compared each key of an object with all earlier ones and counted the line and column of each value from the start of the file. A test applies such a set and waits for it on two daemons.

--- a/crates/lavenderhatch-files/src/document.rs
+++ b/crates/lavenderhatch-files/src/document.rs
@@ -1,5 +1,7 @@
 //! A parsed file: its syntax tree with places.
 
+use std::collections::HashSet;
+
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::{Range, Ranged};
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
@@ -82,12 +84,10 @@
 
     /// Reports keys that stand twice in one object.
     pub(crate) fn check_repeated_keys(&self, object: &Object<'a>, faults: &mut Vec<FileFault>) {
-        for (at, prop) in object.properties.iter().enumerate() {
+        let mut seen = HashSet::with_capacity(object.properties.len());
+        for prop in &object.properties {
             let name = prop.name.as_str();
-            if object.properties[..at]
-                .iter()
-                .any(|other| other.name.as_str() == name)
-            {
+            if !seen.insert(name) {
                 let message = format!("{name:?} stands twice in this object");
                 faults.push(self.fault(prop.range, message, "remove one of the two"));
             }
--- a/crates/lavenderhatch-files/src/mesh/reader.rs
+++ b/crates/lavenderhatch-files/src/mesh/reader.rs
@@ -3,29 +3,43 @@
 use std::collections::BTreeMap;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
-use jsonc_parser::common::Ranged;
+use jsonc_parser::common::{Range, Ranged};
 use lavenderhatch_core::Mesh;
 use lavenderhatch_core::mesh::{MeshFault, MeshParts, MeshPath};
 use lavenderhatch_core::names::name_fault;
 use serde_json::{Map, Value as Json};
 
 use super::tables::{LIMITS, LIMITS_SECTION, SECTIONS};
-use crate::document::{Document, find};
+use crate::document::Document;
 use crate::fault::{FileFault, Place};
 use crate::field::{Field, read_object};
 use crate::source::Source;
 
+/// A range in a file. Its line and column are counted only for faults, because that takes a look at
+/// the whole line.
+#[derive(Clone, Copy)]
+struct Spot<'a> {
+    doc: Document<'a>,
+    range: Range,
+}
+
+impl Spot<'_> {
+    fn place(&self) -> Place {
+        self.doc.place(self.range)
+    }
+}
+
 /// What was read so far of a set of files.
 #[derive(Default)]
-pub(super) struct MeshReader {
+pub(super) struct MeshReader<'a> {
     sections: Map<String, Json>,
-    places: BTreeMap<MeshPath, Place>,
+    spots: BTreeMap<MeshPath, Spot<'a>>,
     faults: Vec<FileFault>,
 }
 
-impl MeshReader {
+impl<'a> MeshReader<'a> {
     /// Reads one file.
-    pub(super) fn read(&mut self, source: &Source) {
+    pub(super) fn read(&mut self, source: &'a Source) {
         let doc = Document::new(source);
         let object = match doc.parse() {
             Ok(object) => object,
@@ -57,7 +71,7 @@
         Err(self.faults)
     }
 
-    fn read_section(&mut self, doc: &Document<'_>, prop: &ObjectProp<'_>) {
+    fn read_section(&mut self, doc: &Document<'a>, prop: &ObjectProp<'_>) {
         let name = prop.name.as_str();
         let Value::Object(object) = &prop.value else {
             let message = format!("{name:?} is not an object");
@@ -80,14 +94,14 @@
         }
     }
 
-    fn read_limits(&mut self, doc: &Document<'_>, prop: &ObjectProp<'_>, object: &Object<'_>) {
+    fn read_limits(&mut self, doc: &Document<'a>, prop: &ObjectProp<'_>, object: &Object<'_>) {
         if self.sections.contains_key(LIMITS_SECTION) {
             let message = "limits are given in another file as well";
             self.faults
                 .push(doc.fault(prop.range, message, "give limits in one file"));
             return;
         }
-        self.remember_places(doc, LIMITS_SECTION, "", prop, object);
+        self.remember_spots(doc, LIMITS_SECTION, "", prop, object);
         if let Some(map) = read_object(doc, object, LIMITS, &mut self.faults) {
             self.sections
                 .insert(LIMITS_SECTION.to_owned(), Json::Object(map));
@@ -96,7 +110,7 @@
 
     fn read_named(
         &mut self,
-        doc: &Document<'_>,
+        doc: &Document<'a>,
         section: &'static str,
         fields: &[Field],
         objects: &Object<'_>,
@@ -109,7 +123,7 @@
 
     fn read_named_object(
         &mut self,
-        doc: &Document<'_>,
+        doc: &Document<'a>,
         section: &'static str,
         fields: &[Field],
         prop: &ObjectProp<'_>,
@@ -120,7 +134,8 @@
             self.faults
                 .push(doc.fault(prop.range, message, "use 1 to 63 of a-z, 0-9 and -"));
         }
-        if let Some(other) = self.places.get(&MeshPath::key(section, name, "")) {
+        if let Some(other) = self.spots.get(&MeshPath::key(section, name, "")) {
+            let other = other.place();
             let message = format!(
                 "{name:?} is described at {}:{}:{} as well",
                 other.file, other.line, other.column
@@ -135,7 +150,7 @@
                 .push(doc.fault(prop.value.range(), message, "write an object in braces"));
             return;
         };
-        self.remember_places(doc, section, name, prop, object);
+        self.remember_spots(doc, section, name, prop, object);
         if let Some(map) = read_object(doc, object, fields, &mut self.faults) {
             let objects = self
                 .sections
@@ -147,36 +162,34 @@
         }
     }
 
-    fn remember_places(
+    fn remember_spots(
         &mut self,
-        doc: &Document<'_>,
+        doc: &Document<'a>,
         section: &'static str,
         name: &str,
         prop: &ObjectProp<'_>,
         object: &Object<'_>,
     ) {
-        self.places
-            .insert(MeshPath::key(section, name, ""), doc.place(prop.range));
+        let mut remember = |key: &str, range: Range| {
+            let spot = Spot { doc: *doc, range };
+            self.spots.insert(MeshPath::key(section, name, key), spot);
+        };
+        remember("", prop.range);
         for inner in &object.properties {
-            let key = inner.name.as_str();
-            let value = find(object, key).map_or(inner.range, |prop| prop.value.range());
-            self.places
-                .insert(MeshPath::key(section, name, key), doc.place(value));
+            remember(inner.name.as_str(), inner.value.range());
         }
     }
 
     fn add_mesh_fault(&mut self, fault: &MeshFault) {
         let of_object = MeshPath::key(fault.path.section, &fault.path.object, "");
-        let place = self
-            .places
-            .get(&fault.path)
-            .or_else(|| self.places.get(&of_object));
+        let spot = self.spots.get(&fault.path);
+        let spot = spot.or_else(|| self.spots.get(&of_object));
         let unplaced = Place {
             file: fault.path.to_string(),
             line: 1,
             column: 1,
         };
-        let place = place.cloned().unwrap_or(unplaced);
+        let place = spot.map_or(unplaced, Spot::place);
         self.faults.push(FileFault::new(
             place,
             fault.message.clone(),
@@ -187,7 +200,7 @@
     /// The tables admit only what the types behind them can store; a difference between the two is
     /// reported at the first place of the set.
     fn add_type_fault(&mut self, err: &serde_json::Error) {
-        let first = self.places.values().next().cloned();
+        let first = self.spots.values().next().map(Spot::place);
         let place = first.unwrap_or(Place {
             file: "mesh".to_owned(),
             line: 1,
--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -151,3 +151,23 @@
         assert_eq!(status["platform"]["is_reachable"], true);
     }
 }
+
+/// Guards against a set in parts that daemons cannot read, and against a parser whose time grows with
+/// the square of the set: such a set took 34 s to check.
+#[test]
+fn large_set_is_in_force_on_each_daemon() {
+    let cluster = Cluster::start(&["orders", "catalogue"]);
+    let services: Vec<String> = (0..30_000)
+        .map(|n| format!(r#""service-{n:08}": {{ "slots": 12 }}"#))
+        .collect();
+    cluster.apply(&format!(
+        r#"{{ "services": {{ {} }} }}"#,
+        services.join(", ")
+    ));
+    cluster.wait_for_version(1);
+    let shown = json(&cluster, &["show"]);
+    assert_eq!(
+        shown["mesh"]["services"].as_object().unwrap().len(),
+        services.len()
+    );
+}
