Keep recent calls without a cost for each thread

To store into an ArcSwap visits each thread that has ever read one, and a daemon has one thread a connection.

--- a/crates/lavenderhatch-daemon/src/metrics/recent.rs
+++ b/crates/lavenderhatch-daemon/src/metrics/recent.rs
@@ -1,10 +1,9 @@
 //! Recent calls, kept so that an operator can ask why one was answered as it was.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use lavenderhatch_core::call::CallAnswer;
 use lavenderhatch_core::{RouteName, Timestamp, Version};
 use lavenderhatch_decide::explain::CallRecord;
@@ -38,7 +37,7 @@
 }
 
 impl RecentCalls {
-    /// Keeps a call. Takes no lock.
+    /// Keeps a call. Waits for nobody.
     pub fn record(
         &self,
         call: &CallSummary<'_>,
@@ -74,16 +73,19 @@
 }
 
 /// The last calls. A writer replaces the oldest one.
+///
+/// The slots are mutexes that a writer only tries, so that it never waits for a reader. To store into
+/// an `ArcSwap` takes time for each thread that has ever read one, and there is one thread a connection.
 struct Ring {
     /// Invariant: [`CAPACITY`] slots.
-    slots: Vec<ArcSwapOption<CallRecord>>,
+    slots: Vec<Mutex<Option<Arc<CallRecord>>>>,
     next: AtomicUsize,
 }
 
 impl Default for Ring {
     fn default() -> Self {
         Self {
-            slots: (0..CAPACITY).map(|_| ArcSwapOption::empty()).collect(),
+            slots: (0..CAPACITY).map(|_| Mutex::default()).collect(),
             next: AtomicUsize::new(0),
         }
     }
@@ -92,11 +94,17 @@
 impl Ring {
     fn push(&self, record: CallRecord) {
         let at = self.next.fetch_add(1, Ordering::Relaxed) % CAPACITY;
-        self.slots[at].store(Some(Arc::new(record)));
+        // A slot that is being read keeps its older call.
+        if let Ok(mut slot) = self.slots[at].try_lock() {
+            *slot = Some(Arc::new(record));
+        }
     }
 
     fn find(&self, id: &str) -> Option<Arc<CallRecord>> {
-        let records = self.slots.iter().filter_map(|slot| slot.load_full());
+        let records = self
+            .slots
+            .iter()
+            .filter_map(|slot| slot.lock().ok()?.clone());
         records
             .filter(|record| record.id == id)
             .max_by_key(|record| record.at)
