--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -8,7 +8,7 @@
 use lavenderhatch_core::{ErrorKind, Timestamp, Version};
 use lavenderhatch_decide::audit::{OPERATORS_NAME, ZONE_CAPACITY};
 use lavenderhatch_platform::HttpPlatform;
-use lavenderhatch_platform::accept::{Proposal, accept};
+use lavenderhatch_platform::accept::{Proposal, accept, read_root};
 use lavenderhatch_platform::audit::append;
 
 use super::{EXIT_BAD_FILES, EXIT_CONFLICT, target};
@@ -80,14 +80,16 @@
     Ok(())
 }
 
-/// Enters a rejection into the audit trail. The tool's answer does not depend on it.
+/// Enters a rejection into the audit trail, with the version that stays accepted. The tool's answer
+/// does not depend on it.
 fn report_rejection(platform: &HttpPlatform, author: &str, reason: String, now: Timestamp) {
+    let accepted = read_root(platform).ok().flatten();
     let event = AuditEvent {
         at: now,
         actor: author.to_owned(),
         action: AuditAction::Rejected,
         object: "mesh".to_owned(),
-        from: None,
+        from: accepted.map(|(root, _)| root.version),
         to: None,
         reason,
     };
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -1,4 +1,12 @@
 //! The guide and the README say what the programs do.
+//!
+//! Shell blocks are run in the order of their page, in a directory that holds `examples/`. Marks in
+//! the info string of a block, as in `sh,exit=3`:
+//!
+//! - `exit=CODE`: the block ends with this code instead of 0.
+//! - `long-running`, `ready=WORD`: the block holds one command, which is ready once it prints WORD and
+//!   is ended after the page. Lines `export NAME=VALUE` of its output set variables of later blocks.
+//! - `ci`: the command runs the tests and is therefore not run by them.
 
 use std::fs;
 use std::path::Path;
--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -87,7 +87,8 @@
         event("cyd", "rejected"),
     ];
     assert_eq!(of(&[]), all);
-    assert_eq!(of(&["--version", "1"]), all[..1]);
+    assert_eq!(of(&["--version", "1"]), all);
+    assert_eq!(of(&["--version", "0"]), all[..1]);
     assert_eq!(of(&["--since", "1h", "--object", "mesh"]), all);
     assert_eq!(of(&["--until", "1h"]), []);
     assert_eq!(of(&["--object", "other"]), []);
