--- a/crates/lavenderhatch-daemon/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 
 mod audit_publisher;
 mod backend;
+mod headers;
 mod leaving;
 mod metrics;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -9,9 +9,5 @@
 pub(crate) use callers::{Call, Callers};
 pub(crate) use cluster::{Cluster, Node};
 pub(crate) use poll::poll;
-<<<<<<< HEAD
 pub(crate) use raw::RawCaller;
 pub(crate) use script::{Shell, read_blocks};
-=======
-pub(crate) use script::{Shell, read_blocks};
->>>>>>> df2f186 (Tell an outage of the platform from an answer in the same millisecond)
