--- a/crates/lavenderhatch-daemon/src/admin/port.rs
+++ b/crates/lavenderhatch-daemon/src/admin/port.rs
@@ -5,21 +5,25 @@
 //! | `GET /status` | [`DaemonStatus`] as JSON |
 //! | `GET /config` | version and mesh in force as JSON, 503 if there is none |
 //! | `GET /audit` | recent audit events of this daemon as JSON |
+//! | `GET /explain/route/NAME` | why the calls of a route go where they go, as JSON |
+//! | `GET /explain/call/ID` | why a recent call was answered as it was, as JSON |
 //! | `GET /metrics` | metrics in the text format of Prometheus |
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use lavenderhatch_core::NodeId;
 use lavenderhatch_core::audit::AuditLog;
 use lavenderhatch_core::blackboard::Blackboard;
+use lavenderhatch_decide::explain::{ChoiceView, explain_call, explain_route};
 use oxhttp::model::{Body, HeaderValue, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
-use prometheus::{Registry, TextEncoder};
 use serde::Serialize;
 
 use super::status::DaemonStatus;
+use crate::metrics::Telemetry;
 use crate::peer::ControlTraffic;
 
 /// Most connections at the same time.
@@ -39,10 +43,10 @@
         addr: SocketAddr,
         node: NodeId,
         board: Blackboard,
-        registry: Registry,
+        telemetry: Arc<Telemetry>,
         traffic: ControlTraffic,
     ) -> Result<Self> {
-        let server = Server::new(move |req| answer(req, &node, &board, &registry, &traffic))
+        let server = Server::new(move |req| answer(req, &node, &board, &telemetry, &traffic))
             .bind(addr)
             .with_global_timeout(IDLE_TIMEOUT)
             .with_max_concurrent_connections(MAX_CONNECTIONS);
@@ -59,14 +63,26 @@
     req: &Request<Body>,
     node: &NodeId,
     board: &Blackboard,
-    registry: &Registry,
+    telemetry: &Telemetry,
     traffic: &ControlTraffic,
 ) -> Response<Body> {
-    match (req.method().as_str(), req.uri().path()) {
-        ("GET", "/status") => json(&DaemonStatus::from_board(node, board, traffic.bytes())),
+    let path = req.uri().path();
+    if let ("GET", Some(object)) = (req.method().as_str(), path.strip_prefix("/explain/")) {
+        return explain(object, node, board, telemetry);
+    }
+    match (req.method().as_str(), path) {
+        ("GET", "/status") => {
+            let platform = telemetry.platform.status();
+            json(&DaemonStatus::from_board(
+                node,
+                board,
+                platform,
+                traffic.bytes(),
+            ))
+        }
         ("GET", "/config") => config(board),
         ("GET", "/audit") => json(&AuditLog::clone(&board.audit.load())),
-        ("GET", "/metrics") => metrics(registry),
+        ("GET", "/metrics") => metrics(board, telemetry),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
@@ -83,8 +99,61 @@
     }))
 }
 
-fn metrics(registry: &Registry) -> Response<Body> {
-    match TextEncoder::new().encode_to_string(&registry.gather()) {
+fn explain(
+    object: &str,
+    node: &NodeId,
+    board: &Blackboard,
+    telemetry: &Telemetry,
+) -> Response<Body> {
+    let config = board.config.load();
+    let config = config.as_ref().as_ref();
+    let endpoints = board.endpoints.load();
+    let members = board.members.load();
+    let Some(own) = members.get(node.as_str()) else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let view = ChoiceView {
+        endpoints: &endpoints,
+        zone: &own.zone,
+        random: rand::random(),
+    };
+    if let Some(name) = object.strip_prefix("route/") {
+        let explained = config.and_then(|config| explain_route(config, &view, name));
+        return explained.map_or_else(|| status(StatusCode::NOT_FOUND), |route| json(&route));
+    }
+    let record = object
+        .strip_prefix("call/")
+        .and_then(|id| telemetry.recent.find(&decode(id)));
+    match record {
+        Some(record) => json(&explain_call(&record, config, &view)),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Decodes the percent encoding of one segment of a path. Other text is kept as it is.
+fn decode(segment: &str) -> String {
+    let mut bytes = Vec::with_capacity(segment.len());
+    let mut rest = segment;
+    while let Some((plain, encoded)) = rest.split_once('%') {
+        bytes.extend_from_slice(plain.as_bytes());
+        let code = encoded.get(..2);
+        let byte = code.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match byte {
+            Some(byte) => bytes.push(byte),
+            None => bytes.push(b'%'),
+        }
+        rest = if byte.is_some() {
+            &encoded[2..]
+        } else {
+            encoded
+        };
+    }
+    bytes.extend_from_slice(rest.as_bytes());
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn metrics(board: &Blackboard, telemetry: &Telemetry) -> Response<Body> {
+    match telemetry.encode(board) {
         Ok(text) => content("text/plain; version=0.0.4", text.into_bytes()),
         Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
     }
--- a/crates/lavenderhatch-daemon/src/admin/status.rs
+++ b/crates/lavenderhatch-daemon/src/admin/status.rs
@@ -9,6 +9,7 @@
 use lavenderhatch_core::{MemberRecord, NodeId, StopName, Timestamp, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::metrics::PlatformStatus;
 use crate::peer::ControlBytes;
 
 /// A member as a daemon sees it.
@@ -39,11 +40,19 @@
     pub claims: ClaimsView,
     /// Bytes of messages to and from other daemons that carry no calls.
     pub control: ControlBytes,
+    /// Whether the platform answers this daemon.
+    #[serde(default)]
+    pub platform: PlatformStatus,
 }
 
 impl DaemonStatus {
     /// Reads the blackboard of the daemon named `node`.
-    pub fn from_board(node: &NodeId, board: &Blackboard, control: ControlBytes) -> Self {
+    pub fn from_board(
+        node: &NodeId,
+        board: &Blackboard,
+        platform: PlatformStatus,
+        control: ControlBytes,
+    ) -> Self {
         let config = board.config.load();
         let config = config.as_ref().as_ref();
         let version = config.map_or(Version::NONE, |config| config.version);
@@ -68,6 +77,7 @@
             load: LoadView::clone(&board.load.load()),
             claims: ClaimsView::clone(&board.claims.load()),
             control,
+            platform,
         }
     }
 }
--- a/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
+++ b/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
@@ -7,10 +7,11 @@
 use lavenderhatch_core::MemberRecord;
 use lavenderhatch_core::blackboard::SectionReader;
 use lavenderhatch_core::member::Members;
-use lavenderhatch_decide::acceptance::{PART_PREFIX, ROOT_NAME, RootContent, RootObject};
+use lavenderhatch_decide::acceptance::{ROOT_NAME, RootObject};
 use lavenderhatch_decide::distribution::{ReaderRole, reader_backoff, reader_role};
 use lavenderhatch_decide::membership::{isolated_interval, join_delay};
 use lavenderhatch_decide::message::Whole;
+use lavenderhatch_platform::accept::read_content;
 use lavenderhatch_platform::{Object, Platform, PlatformError};
 use tracing::{info, warn};
 
@@ -184,24 +185,6 @@
     matches!(stop.recv_timeout(wait), Err(RecvTimeoutError::Timeout))
 }
 
-fn read_content<P: Platform>(
-    platform: &P,
-    content: &RootContent,
-) -> Result<Vec<u8>, PlatformError> {
-    let digests = match content {
-        RootContent::Inline(parts) => return Ok(parts.to_canonical()),
-        RootContent::Parts(digests) => digests,
-    };
-    let mut mesh = Vec::new();
-    for digest in digests {
-        let name = format!("{PART_PREFIX}{digest}");
-        let part = platform.get(&name)?;
-        let part = part.ok_or_else(|| PlatformError::BadAnswer(format!("{name} is missing")))?;
-        mesh.extend_from_slice(&part.value);
-    }
-    Ok(mesh)
-}
-
 /// The queue of what the reader reports.
 pub(crate) fn news_channel() -> (Sender<RootNews>, Receiver<RootNews>) {
     bounded(16)
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -9,18 +9,20 @@
 use lavenderhatch_core::{Incarnation, MemberRecord, MemberState, Timestamp};
 use lavenderhatch_files::Settings;
 use lavenderhatch_platform::Platform;
-use prometheus::Registry;
 use tracing::info;
 
 use crate::admin::AdminPort;
 use crate::controller::{
-    AuditController, ControllerHandle, DistributionController, EndpointController, LeaveSender,
-    LoadController, MembershipController, OrderController, PlatformReader, StopController,
-    ZoneObjects,
+    AuditController, AuditPublisher, ControllerHandle, DistributionController, EndpointController,
+    LeaveSender, LoadController, MembershipController, OrderController, PlatformReader,
+    StopController, ZoneObjects,
 };
+use crate::metrics::{ObservedPlatform, Telemetry};
 use crate::peer::{ControlTraffic, Inboxes, PeerLinks, PeerPort};
 use crate::request::gate::Gate;
-use crate::request::{CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath};
+use crate::request::{
+    CallObserver, CallerPort, CarryWorkers, HttpBackend, OrderClient, RequestPath,
+};
 
 /// Requests of peers that wait for a controller. More are refused.
 const CONTROL_QUEUE: usize = 1024;
@@ -42,6 +44,8 @@
     /// Starts the controllers and binds the ports.
     pub fn spawn<P: Platform + Clone>(settings: &Settings, platform: P) -> Result<Self> {
         let (board, writers) = Blackboard::open();
+        let telemetry = Arc::new(Telemetry::open()?);
+        let platform = ObservedPlatform::new(platform, telemetry.platform.clone());
         let own = own_record(settings, Timestamp::from_system_clock());
         let (members_tx, member_requests) = bounded(CONTROL_QUEUE);
         let (distribution_tx, requests) = bounded(CONTROL_QUEUE);
@@ -64,12 +68,19 @@
         let orders = OrderClient::new(&own, inboxes.orders.clone(), links.clone());
         let (audit, events) = AuditController::channel();
         let (news_tx, news) = crate::controller::news_channel();
-        let (jobs_tx, zone_jobs) = ZoneObjects::<P>::queue();
-        let (contacts_tx, contacts) = ZoneObjects::<P>::contacts();
+        let (jobs_tx, zone_jobs) = ZoneObjects::<ObservedPlatform<P>>::queue();
+        let (contacts_tx, contacts) = ZoneObjects::<ObservedPlatform<P>>::contacts();
         let (leave, leaves) = StopController::channel();
         let (gate, gate_inbox, decided) = Gate::open(DEFAULT_SLOTS, board.load.clone());
         let controllers = vec![
             AuditController::spawn(events, writers.audit)?,
+            AuditPublisher {
+                own: own.clone(),
+                platform: platform.clone(),
+                members: board.members.clone(),
+                audit: board.audit.clone(),
+            }
+            .spawn()?,
             StopController {
                 own: own.clone(),
                 config: board.config.clone(),
@@ -162,12 +173,13 @@
             Duration::from_millis(settings.idle_timeout_ms),
             board.clone(),
             path,
+            CallObserver::new(&settings.node, Arc::clone(&telemetry)),
         )?;
         let admin = AdminPort::bind(
             settings.admin_addr,
             settings.node.clone(),
             board.clone(),
-            Registry::new(),
+            telemetry,
             traffic,
         )?;
         info!(
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod distribution;
+mod audit;
 mod choose;
+mod distribution;
 mod endpoints;
+mod explain;
 mod limit;
 mod member_fixture;
 mod membership;
--- /dev/null
+++ b/crates/lavenderhatch-wire/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the messages between daemons.
+
+#![allow(clippy::unwrap_used)]
+
+mod malformed;
--- /dev/null
+++ b/tests/testsuite/guide.rs
@@ -0,0 +1,97 @@
+//! The guide and the README say what the programs do.
+//!
+//! Shell blocks are run in the order of their page, in a directory that holds `examples/`. Marks in
+//! the info string of a block, as in `sh,exit=3`:
+//!
+//! - `exit=CODE`: the block ends with this code instead of 0.
+//! - `long-running`, `ready=WORD`: the block holds one command, which is ready once it prints WORD and
+//!   is ended after the page. Lines `export NAME=VALUE` of its output set variables of later blocks.
+//! - `ci`: the command runs the tests and is therefore not run by them.
+
+use std::fs;
+use std::path::Path;
+
+use lavenderhatch_files::{FileFault, Source, parse_mesh, parse_settings};
+use rstest::rstest;
+
+use crate::support::{Cluster, Shell, read_blocks};
+
+fn read(path: &str) -> String {
+    fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(path)).unwrap()
+}
+
+/// Files of the guide.
+fn chapters() -> Vec<String> {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("guide/src");
+    let entries = fs::read_dir(dir).unwrap();
+    let mut names: Vec<String> = entries
+        .map(|entry| entry.unwrap().file_name().into_string().unwrap())
+        .collect();
+    names.sort();
+    names
+}
+
+/// Runs the commands of a page in order. A page that starts no mesh itself gets one.
+fn run_page(path: &str) {
+    let blocks = read_blocks(path);
+    let Some(first) = blocks.first() else { return };
+    let cluster = (!first.is_marked("long-running"))
+        .then(|| Cluster::start(&["orders", "orders", "catalogue"]));
+    let env = cluster.as_ref().map_or_else(Vec::new, Cluster::env);
+    let mut shell = Shell::open(&path.replace('/', "-"), env);
+    for block in blocks.iter().filter(|block| !block.is_marked("ci")) {
+        shell.run(block);
+    }
+}
+
+/// Guards against commands in the guide that fail, or that a reader cannot run in the order of the
+/// page, and against a chapter that no reader finds.
+#[test]
+fn commands_of_the_guide_run() {
+    let summary = read("guide/src/SUMMARY.md");
+    for name in chapters().iter().filter(|name| *name != "SUMMARY.md") {
+        assert!(summary.contains(&format!("]({name})")), "{name}");
+        run_page(&format!("guide/src/{name}"));
+    }
+}
+
+/// Guards against commands in the README that fail. The one marked `ci` runs this test; `.ci/run`
+/// must hold it.
+#[test]
+fn commands_of_the_readme_run() {
+    let blocks = read_blocks("README.md");
+    let marked = blocks.iter().filter(|block| block.is_marked("ci"));
+    let [marked] = marked.collect::<Vec<_>>().try_into().ok().unwrap();
+    assert!(read(".ci/run").contains(&marked.text), "{}", marked.text);
+    run_page("README.md");
+}
+
+/// Guards against keys of mesh files that the reference leaves out.
+#[rstest]
+#[case::sections(r#"{ "unknown": {} }"#)]
+#[case::services(r#"{ "services": { "a": { "unknown": 1 } } }"#)]
+#[case::routes(r#"{ "routes": { "a": { "unknown": 1 } } }"#)]
+#[case::ranks(r#"{ "ranks": { "a": { "unknown": 1 } } }"#)]
+#[case::stops(r#"{ "stops": { "a": { "unknown": 1 } } }"#)]
+#[case::limits(r#"{ "limits": { "unknown": 1 } }"#)]
+fn reference_lists_each_key_of_mesh_files(#[case] text: &str) {
+    let faults = parse_mesh(&[Source::new("f", text)]).unwrap_err();
+    assert_lists("guide/src/mesh-files.md", &faults);
+}
+
+/// Guards against settings that the reference leaves out.
+#[test]
+fn reference_lists_each_setting() {
+    let faults = parse_settings(&Source::new("f", r#"{ "unknown": 1 }"#)).unwrap_err();
+    assert_lists("guide/src/daemons.md", &faults);
+}
+
+/// The remedy for an unknown key lists the keys that an object may have.
+fn assert_lists(path: &str, faults: &[FileFault]) {
+    let page = read(path);
+    let remedies = faults.iter().map(|fault| fault.remedy.as_str());
+    let mut keys = remedies.filter_map(|remedy| remedy.strip_prefix("use one of: "));
+    for key in keys.next().unwrap().split(", ") {
+        assert!(page.contains(&format!("\n| `{key}` |")), "{key}");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,8 +5,10 @@
 mod callers;
 mod distribution;
 mod endpoints;
+mod guide;
 mod orders;
 mod ranks;
 mod stops;
 mod support;
+mod tool;
 mod whole_path;
