--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod distribution;
 mod choose;
+mod distribution;
 mod endpoints;
 mod limit;
 mod member_fixture;
