--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -141,6 +141,8 @@
     #[case] expected: Option<i32>,
 ) {
     let cluster = Cluster::start(&["orders", "catalogue"]);
+    // A wait covers the members that the asked daemon knows.
+    cluster.wait_for_version(0);
     cluster.apply(MESH);
     let timeout = if expected == Some(0) { "20s" } else { "1s" };
     let output = cluster.tool(&["wait", version, "--timeout", timeout]);
