Run callers' requests on the thread that has read them

Cause: each call of a caller was handed from the I/O thread to a thread for blocking work and back, two wake-ups of about 50 us each here.

Change: the handler blocks the I/O thread in place, and the runtime lets another thread take over the other connections.

--- a/crates/lavenderhatch-daemon/src/http/server.rs
+++ b/crates/lavenderhatch-daemon/src/http/server.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Semaphore;
-use tokio::task::spawn_blocking;
+use tokio::task::block_in_place;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, warn};
 
@@ -24,7 +24,7 @@
 use super::request::{HttpRequest, MAX_HEAD_BYTES, read_request};
 use super::response::HttpResponse;
 
-/// Threads that read requests and write answers. Handlers run on threads of their own.
+/// Threads that read requests and write answers while no handler blocks them.
 const IO_THREADS: usize = 2;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 128;
@@ -175,38 +175,14 @@
 ) -> Result<Response<GuardedBody<H::Guard>>, Infallible> {
     let guard = handler.enter();
     let read = read_request(req, handler.max_body_bytes(), idle_timeout).await;
-    let (res, guard) = match read {
-        Ok(req) => run(Arc::clone(handler), guard, req).await,
-        Err((kind, message)) => {
-            let refused = handler.refuse(kind, message);
-            let res = HttpResponse {
-                is_last: true,
-                ..refused
-            };
-            (res, Some(guard))
-        }
+    let res = match read {
+        // The thread goes on with this connection once the handler returns. Another thread takes
+        // over the other connections meanwhile, so that a call costs no hand-over between threads.
+        Ok(req) => block_in_place(|| handler.answer(&guard, &req)),
+        Err((kind, message)) => HttpResponse {
+            is_last: true,
+            ..handler.refuse(kind, message)
+        },
     };
-    // A handler that panicked took its guard with it.
-    let guard = guard.unwrap_or_else(|| handler.enter());
     Ok(res.into_hyper(|body| GuardedBody::new(body, guard, unflushed.clone())))
 }
-
-/// Runs the handler on a thread that may block.
-async fn run<H: Handler>(
-    handler: Arc<H>,
-    guard: H::Guard,
-    req: HttpRequest,
-) -> (HttpResponse, Option<H::Guard>) {
-    let runner = Arc::clone(&handler);
-    let task = spawn_blocking(move || (runner.answer(&guard, &req), Some(guard)));
-    match task.await {
-        Ok(answered) => answered,
-        Err(err) => {
-            warn!("caller: a handler failed: {err}");
-            (
-                handler.refuse(ErrorKind::Internal, "the daemon failed"),
-                None,
-            )
-        }
-    }
-}
