Do not try an order elsewhere while its claim is in the way

Cause: an order with a chosen key that a server refuses after its claim, for example at the gate, was tried on a second server before the claim was released. The second server found the claim and answered `key-in-flight`, which is `unknown`, although the order ran nowhere.

Change: such a refusal goes to the caller as "not run" with its advice. The caller's next try comes after the release. The two places that build a stored call share one function.

--- a/crates/lavenderhatch-daemon/src/request/order.rs
+++ b/crates/lavenderhatch-daemon/src/request/order.rs
@@ -192,6 +192,12 @@
         result
     }
 
+    /// Whether the claim of an order may be in the way of another server. It is released only after
+    /// the refusal, so another server could find it and answer `key-in-flight`.
+    pub(super) fn may_hold_claim(&self, call: &StoredCall) -> bool {
+        waits_for_claim(call) && self.0.get()
+    }
+
     /// What the caller is told after the last attempt failed.
     pub(super) fn refusal(&self, call: &StoredCall, err: Error) -> Error {
         without_record(waits_for_claim(call) && !self.0.get(), err)
--- a/crates/lavenderhatch-daemon/src/request/order_keys.rs
+++ b/crates/lavenderhatch-daemon/src/request/order_keys.rs
@@ -35,32 +35,14 @@
             return Err(Error::new(ErrorKind::BadRequest, message));
         };
         let mut routes = config.mesh.routes().iter();
-        let Some((_, route)) = routes.find(|(known, _)| known.as_str() == name) else {
+        let Some((known, route)) = routes.find(|(known, _)| known.as_str() == name) else {
             return Err(Error::new(ErrorKind::NoRoute, format!("no route {name}")));
         };
         if route.idempotent {
             let message = format!("route {name} is idempotent and needs no key");
             return Err(Error::new(ErrorKind::BadRequest, message));
         }
-        let time_left = req
-            .deadline
-            .map_or(route.timeout(), |left| left.min(route.timeout()));
-        Ok(Arc::new(StoredCall {
-            id: req
-                .call_id
-                .map_or_else(|| self.new_call_id(), str::to_owned),
-            method: req.method.to_owned(),
-            target: req.target.to_owned(),
-            route: name.to_owned(),
-            rank: route.rank.to_string(),
-            service: route.service.to_string(),
-            headers: Vec::new(),
-            body: Vec::new(),
-            key: None,
-            is_idempotent: true,
-            time_left_ms: time_left.as_millis() as u64,
-            depth: req.depth.saturating_add(1),
-        }))
+        Ok(Arc::new(self.call_of(req, known, route)))
     }
 
     pub(super) fn issue_key(&self, call: &StoredCall) -> Result<CallAnswer, Error> {
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -12,8 +12,8 @@
 use lavenderhatch_core::call::{CallAnswer, Header, MAX_DEPTH, StoredCall};
 use lavenderhatch_core::config::RouteEntry;
 use lavenderhatch_core::drain::{InFlight, InFlightGuard};
-use lavenderhatch_core::mesh::KeyPolicy;
-use lavenderhatch_core::{Error, ErrorKind, NodeId, Zone};
+use lavenderhatch_core::mesh::{KeyPolicy, Route};
+use lavenderhatch_core::{Error, ErrorKind, NodeId, RouteName, Zone};
 
 use super::backend::Backend;
 use super::gate::Gate;
@@ -164,10 +164,26 @@
             let message = format!("route {name} requires the header Idempotency-Key");
             return Err(Error::new(ErrorKind::KeyMissing, message));
         }
+        Ok(Arc::new(StoredCall {
+            headers: req.headers.to_vec(),
+            body: req.body.to_vec(),
+            key: req.key.map(str::to_owned),
+            is_idempotent: route.idempotent,
+            ..self.call_of(req, name, route)
+        }))
+    }
+
+    /// The call of a request on a route, without headers, body and key.
+    pub(super) fn call_of(
+        &self,
+        req: &IncomingRequest<'_>,
+        name: &RouteName,
+        route: &Route,
+    ) -> StoredCall {
         let time_left = req
             .deadline
             .map_or(route.timeout(), |left| left.min(route.timeout()));
-        Ok(Arc::new(StoredCall {
+        StoredCall {
             id: req
                 .call_id
                 .map_or_else(|| self.new_call_id(), str::to_owned),
@@ -176,16 +192,16 @@
             route: name.to_string(),
             rank: route.rank.to_string(),
             service: route.service.to_string(),
-            headers: req.headers.to_vec(),
-            body: req.body.to_vec(),
-            key: req.key.map(str::to_owned),
-            is_idempotent: route.idempotent,
+            headers: Vec::new(),
+            body: Vec::new(),
+            key: None,
+            is_idempotent: true,
             time_left_ms: time_left.as_millis() as u64,
-            depth: req.depth + 1,
-        }))
+            depth: req.depth.saturating_add(1),
+        }
     }
 
-    pub(super) fn new_call_id(&self) -> String {
+    fn new_call_id(&self) -> String {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         format!("{}-{number:x}", self.own)
     }
--- a/crates/lavenderhatch-daemon/src/request/route.rs
+++ b/crates/lavenderhatch-daemon/src/request/route.rs
@@ -45,7 +45,8 @@
             // A server that leaves does no work for the refusal, and several may leave at the same
             // time.
             attempts += usize::from(failure.kind != Some(ErrorKind::Leaving));
-            let cost = match start.elapsed() < allowed && attempts < MAX_ATTEMPTS {
+            let has_time = start.elapsed() < allowed;
+            let cost = match has_time && attempts < MAX_ATTEMPTS && !asked.may_hold_claim(call) {
                 true => retry_cost(&failure),
                 false => None,
             };
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -50,10 +50,11 @@
     }
 }
 
-/// Daemons of other servers. Of these, the first few that are called refuse because they leave.
+/// Daemons of other servers. Of these, the first few that are called refuse.
 struct There {
     refusals: u32,
-    calls: AtomicU32,
+    kind: ErrorKind,
+    calls: Arc<AtomicU32>,
 }
 
 impl PeerCaller for There {
@@ -64,7 +65,7 @@
         _: Duration,
     ) -> Result<CallAnswer, PeerError> {
         match self.calls.fetch_add(1, Ordering::Relaxed) < self.refusals {
-            true => Ok(CallAnswer::from_error(ErrorKind::Leaving, "leaving")),
+            true => Ok(CallAnswer::from_error(self.kind, "refused")),
             false => Ok(ran("there")),
         }
     }
@@ -85,6 +86,15 @@
 
 /// The daemon of `n0` among `n0` to `n5`, which still takes all of them for serving.
 fn open(refusals: u32) -> (RequestPath<Here, There>, Blackboard, Writers) {
+    let there = There {
+        refusals,
+        kind: ErrorKind::Leaving,
+        calls: Arc::default(),
+    };
+    open_with(there)
+}
+
+fn open_with(there: There) -> (RequestPath<Here, There>, Blackboard, Writers) {
     let (board, writers) = Blackboard::open();
     let mesh: Mesh = parse_mesh(&[Source::new("mesh.jsonc", MESH)]).unwrap();
     let config = ConfigSnapshot::new(Version(1), Arc::new(mesh), Timestamp(1));
@@ -99,8 +109,6 @@
         .extend((0..6).map(|n| endpoint(&format!("n{n}"))));
     writers.endpoints.publish(endpoints);
     let own = NodeId::new("n0").unwrap();
-    let calls = AtomicU32::new(0);
-    let there = There { refusals, calls };
     let zone = Zone::new("zone-a").unwrap();
     let (gate, _, _) = Gate::open(12, board.load.clone());
     let path = RequestPath::new(own, zone, board.clone(), gate, Here, there, orders());
@@ -245,3 +253,29 @@
     let refused = path.enter().map(drop).map_err(|err| err.kind());
     assert_eq!((refused, in_flight.count()), (Err(ErrorKind::Leaving), 0));
 }
+
+/// Guards against an order that is tried on a second server while the claim of the first is not
+/// released yet: the second answers `key-in-flight`, which is `unknown`, although the order did not
+/// run anywhere.
+#[test]
+fn order_refused_after_its_claim_is_not_tried_elsewhere() {
+    let calls = Arc::new(AtomicU32::new(0));
+    let there = There {
+        refusals: 12,
+        kind: ErrorKind::Overloaded,
+        calls: Arc::clone(&calls),
+    };
+    let (path, _board, writers) = open_with(there);
+    leave(&writers);
+    let without_key = path.handle(&request(), &mut || 1);
+    assert_eq!(without_key.error, Some(ErrorKind::Overloaded));
+    assert_eq!(calls.swap(0, Ordering::Relaxed), 3);
+    let req = IncomingRequest {
+        key: Some("k"),
+        ..request()
+    };
+    let answer = path.handle(&req, &mut || 1);
+    assert_eq!(calls.load(Ordering::Relaxed), 1);
+    let refused = (Some(ErrorKind::Overloaded), Outcome::NotRun);
+    assert_eq!((answer.error, answer.outcome), refused);
+}
