Ask members that are not linked for their versions

Cause: a daemon hears the versions of its at most 10 links. `wait` and `status` counted all others as unknown, so that `wait` never ended with more members than that: 7 of 14 daemons after 20 s in the new test.

Change: the tool asks up to 64 such members directly, and each request of the tool has a time limit. After: 14 of 14.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -46,7 +46,8 @@
 
 fn explain_route(daemon: SocketAddr, name: &str, is_json: bool) -> Result<ExitCode> {
     let path = format!("/explain/route/{}", encode(name));
-    let Some(route) = target::find_json::<RouteExplanation>(daemon, &path)? else {
+    let Some(route) = target::find_json::<RouteExplanation>(daemon, &path, target::ANSWER_TIMEOUT)?
+    else {
         eprintln!("error: no route {name:?} is in force on {daemon}");
         return Ok(ExitCode::from(EXIT_FAILURE));
     };
@@ -59,7 +60,8 @@
 
 fn explain_call(daemon: SocketAddr, id: &str, is_json: bool) -> Result<ExitCode> {
     let path = format!("/explain/call/{}", encode(id));
-    let Some(call) = target::find_json::<CallExplanation>(daemon, &path)? else {
+    let Some(call) = target::find_json::<CallExplanation>(daemon, &path, target::ANSWER_TIMEOUT)?
+    else {
         eprintln!(
             "error: {daemon} keeps no call {id:?}; it keeps the last ones that callers sent to it"
         );
--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -2,14 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::Result;
-use lavenderhatch_core::{MemberState, NodeId, Version, Zone};
+use lavenderhatch_core::{MemberRecord, MemberState, NodeId, Version, Zone};
 use lavenderhatch_daemon::admin::{DaemonStatus, MemberStatus};
 use serde::Serialize;
 
 use super::target;
 
+/// Most members that are asked directly in one look. A daemon is linked to at most 10 members.
+const MAX_ASKED: usize = 64;
+/// Time for the answer of one of these members.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Members of one zone and the versions that they hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub(crate) struct ZoneProgress {
@@ -51,10 +57,28 @@
     }
 }
 
-/// Asks how far a version has come. The one place that decides where this is read from.
+/// Asks how far a version has come.
 pub(crate) fn read_progress(daemon: SocketAddr, version: Version) -> Result<FleetProgress> {
-    let status: DaemonStatus = target::get_json(daemon, "/status")?;
-    Ok(progress(&status, version))
+    Ok(progress(&read_status(daemon)?, version))
+}
+
+/// Asks a daemon for its status, and the members that are not linked to it for their versions. The
+/// one place that decides where versions are read from.
+pub(crate) fn read_status(daemon: SocketAddr) -> Result<DaemonStatus> {
+    let mut status: DaemonStatus = target::get_json(daemon, "/status")?;
+    let unknown = status.members.iter_mut();
+    let unknown = unknown.filter(|member| member.version.is_none() && is_expected(member));
+    for member in unknown.take(MAX_ASKED) {
+        member.version = ask_version(&member.record);
+    }
+    Ok(status)
+}
+
+/// The version that a member says it holds; `None` if it does not answer.
+fn ask_version(record: &MemberRecord) -> Option<Version> {
+    let asked = target::find_json::<DaemonStatus>(record.admin_addr, "/status", MEMBER_TIMEOUT);
+    let status = asked.ok().flatten()?;
+    (status.node == record.id).then_some(status.version)
 }
 
 /// How far a version has come as one daemon sees it.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -12,7 +12,7 @@
 use lavenderhatch_daemon::metrics::PlatformStatus;
 use serde::Serialize;
 
-use super::fleet::{ZoneProgress, progress};
+use super::fleet::{ZoneProgress, progress, read_status};
 use super::{target, time};
 
 pub(super) fn command() -> Command {
@@ -41,7 +41,7 @@
 }
 
 pub(super) fn run(args: &ArgMatches) -> Result<ExitCode> {
-    let status: DaemonStatus = target::get_json(target::daemon(args)?, "/status")?;
+    let status = read_status(target::daemon(args)?)?;
     let report = Report::new(status);
     match target::is_json(args) {
         true => target::print_json(&report)?,
--- a/src/cmd/target.rs
+++ b/src/cmd/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, value_parser};
 use eyre::{Result, WrapErr, bail, eyre};
@@ -13,6 +14,8 @@
 
 /// Largest answer of a daemon, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+/// Time for the answer of the daemon that a command names.
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The directory of mesh files.
 pub(crate) fn dir_arg() -> Arg {
@@ -120,12 +123,21 @@
 
 /// Reads JSON from the administration port of a daemon.
 pub(crate) fn get_json<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Result<T> {
-    find_json(addr, path)?.ok_or_else(|| eyre!("daemon {addr} does not know {path}"))
+    find_json(addr, path, ANSWER_TIMEOUT)?
+        .ok_or_else(|| eyre!("daemon {addr} does not know {path}"))
 }
 
 /// Reads JSON from the administration port of a daemon; `None` if it has no such object.
-pub(crate) fn find_json<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Result<Option<T>> {
-    let mut res = match ureq::get(format!("http://{addr}{path}")).call() {
+pub(crate) fn find_json<T: DeserializeOwned>(
+    addr: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<Option<T>> {
+    let req = ureq::get(format!("http://{addr}{path}"))
+        .config()
+        .timeout_global(Some(timeout))
+        .build();
+    let mut res = match req.call() {
         Ok(res) => res,
         Err(ureq::Error::StatusCode(404)) => return Ok(None),
         Err(ureq::Error::StatusCode(503)) => bail!("daemon {addr} has no configuration yet"),
--- a/tests/testsuite/tool.rs
+++ b/tests/testsuite/tool.rs
@@ -155,6 +155,18 @@
     }
 }
 
+/// Guards against a wait that never ends because a daemon hears the versions of at most 10 others.
+#[test]
+fn wait_covers_members_that_are_not_linked() {
+    let cluster = Cluster::start(&["orders"; 14]);
+    cluster.wait_for_version(0);
+    cluster.apply(MESH);
+    let output = cluster.tool(&["wait", "1", "--timeout", "20s"]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("14 of 14 daemons"), "{text}");
+}
+
 /// Guards against a set in parts that daemons cannot read, and against a parser whose time grows with
 /// the square of the set: such a set took 34 s to check.
 #[test]
