Refuse requests without a host, and let refused callers read their answer

A caller beyond the connection limit that had already sent its request could lose the refusal to a reset.

--- a/crates/lavenderhatch-daemon/src/http/request.rs
+++ b/crates/lavenderhatch-daemon/src/http/request.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::{Request, Version};
 use lavenderhatch_core::ErrorKind;
 use lavenderhatch_core::call::Header;
 use tokio::time::timeout;
@@ -79,8 +79,9 @@
     if head.headers.iter().map(size).sum::<usize>() > MAX_HEAD_BYTES {
         return Err((ErrorKind::TooLarge, "the head is larger than 64 KiB"));
     }
-    if head.headers.get_all("host").iter().count() > 1 {
-        return bad("more than one host");
+    let hosts = head.headers.get_all("host").iter().count();
+    if hosts > 1 || (hosts == 0 && head.version == Version::HTTP_11) {
+        return bad("a request names one host");
     }
     let codings = head.headers.get("transfer-encoding");
     if codings.is_some_and(|codings| !codings.as_bytes().eq_ignore_ascii_case(b"chunked")) {
--- a/crates/lavenderhatch-daemon/src/http/server.rs
+++ b/crates/lavenderhatch-daemon/src/http/server.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use lavenderhatch_core::ErrorKind;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, copy, sink};
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Semaphore;
@@ -140,9 +140,12 @@
 }
 
 async fn refuse(mut stream: TcpStream) {
+    // Closing a socket with unread bytes resets the connection, and the caller may then lose the
+    // answer. So what it has sent is read and dropped first.
     let _ = timeout(REFUSAL_TIMEOUT, async {
         stream.write_all(REFUSAL).await?;
-        stream.shutdown().await
+        stream.shutdown().await?;
+        copy(&mut stream, &mut sink()).await
     })
     .await;
 }
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -70,6 +70,16 @@
     );
 }
 
+/// Guards against bytes that are no request, or name no host, and run all the same.
+#[rstest]
+#[case::no_request(b"GARBAGE\r\n\r\n")]
+#[case::no_version(b"POST /orders\r\nHost: a\r\n\r\n")]
+#[case::no_host(b"POST /orders HTTP/1.1\r\nContent-Length: 0\r\n\r\n")]
+fn bytes_that_are_no_request_are_refused(#[case] bytes: &[u8]) {
+    let answer = refusal(&cluster(), bytes);
+    assert!(answer.starts_with("http/1.1 400"), "{answer}");
+}
+
 /// Guards against bodies that are read in part or beyond their limit, and against limits that are
 /// not kept: each is refused as a whole with its outcome.
 #[rstest]
@@ -217,6 +227,12 @@
         answer.starts_with("http/1.1 503") && answer.contains("not-run"),
         "{answer}"
     );
+    // Guards against a reset that destroys the answer because the request was not read.
+    let mut caller = RawCaller::connect(addr);
+    caller.send(&request("Content-Length: 900\r\n", &"x".repeat(900)));
+    crate::support::poll(LET_GO_LIMIT, "an answer to a request that was sent", || {
+        caller.answer().filter(|answer| answer.contains(" 503 "))
+    });
     drop(held);
     crate::support::poll(LET_GO_LIMIT, "a free connection", || {
         let mut caller = RawCaller::connect(addr);
