--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod orders;
 mod queue;
+mod replay;
 mod retry;
 mod stops;
 mod support;
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/replay.rs
@@ -0,0 +1,206 @@
+//! Replays recorded traces through the deciding functions.
+//!
+//! A trace holds one event a line as JSON: what happens, for how long the fleet runs, and the stated
+//! outcomes. After each event, no member may have gone back to an older version.
+
+use std::collections::BTreeMap;
+
+use lavenderhatch_core::{Timestamp, Version, Zone};
+use lavenderhatch_decide::acceptance::{AfterWrite, RootObject, next_root, resolve_lost_answer};
+use rstest::rstest;
+use serde::Deserialize;
+
+use crate::support::{Fleet, mesh, node};
+
+/// One line of a trace.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Event {
+    /// The fleet starts; the first event of a trace.
+    Start { members: usize, zones: usize },
+    /// An operator reads the root object and makes a proposal.
+    Propose { operator: String },
+    /// The proposal is written. A write may be lost, and so may the answer to one that arrived.
+    Write {
+        operator: String,
+        arrives: bool,
+        is_answered: bool,
+    },
+    /// An operator reads back; the stated outcome.
+    ReadBack { operator: String, outcome: String },
+    /// A member reads the root object.
+    Read { member: usize },
+    /// Time passes.
+    Run { ms: u64 },
+    /// Members fail at once.
+    Kill { members: Vec<usize> },
+    /// Members start anew.
+    Restart { members: Vec<usize> },
+    /// Zones lose all others.
+    Cut { zones: Vec<Zone> },
+    /// All zones reach each other.
+    Heal {},
+    /// Stated outcome: all running members hold this version.
+    AllHold { version: u64 },
+    /// Stated outcome: these members hold this version.
+    Hold { members: Vec<usize>, version: u64 },
+}
+
+/// The state of a replay.
+struct Replay {
+    fleet: Fleet,
+    root: Option<RootObject>,
+    /// Proposals by operator, each with the version that it was built on.
+    proposals: BTreeMap<String, (RootObject, Version)>,
+    /// The highest version that each member has held.
+    highest: BTreeMap<usize, Version>,
+    /// What a member that has restarted held before, as far as a running member knows.
+    floors: BTreeMap<usize, Version>,
+}
+
+impl Replay {
+    fn new(fleet: Fleet) -> Self {
+        Self {
+            fleet,
+            root: None,
+            proposals: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            floors: BTreeMap::new(),
+        }
+    }
+
+    fn play(&mut self, event: &Event) {
+        match event {
+            Event::Start { .. } => panic!("a trace starts once"),
+            Event::Propose { operator } => self.propose(operator),
+            Event::Write {
+                operator,
+                arrives,
+                is_answered,
+            } => self.write(operator, *arrives, *is_answered),
+            Event::ReadBack { operator, outcome } => {
+                assert_eq!(self.read_back(operator), *outcome);
+            }
+            Event::Read { member } => {
+                let version = self.root.as_ref().unwrap().version;
+                if self.held(*member) < version {
+                    self.fleet.accept(*member, version.0);
+                }
+            }
+            Event::Run { ms } => self.fleet.run_ms(*ms),
+            Event::Kill { members } => {
+                self.fleet.down.extend(members.iter().map(|n| node(*n)));
+            }
+            Event::Restart { members } => members.iter().for_each(|n| self.restart(*n)),
+            Event::Cut { zones } => self.fleet.cut.extend(zones.iter().cloned()),
+            Event::Heal {} => self.fleet.cut.clear(),
+            Event::AllHold { version } => assert!(self.fleet.behind(*version).is_empty()),
+            Event::Hold { members, version } => {
+                let is_held = |n: &usize| self.held(*n) == Version(*version);
+                assert!(members.iter().all(is_held));
+            }
+        }
+    }
+
+    fn propose(&mut self, operator: &str) {
+        let base = self
+            .root
+            .as_ref()
+            .map_or(Version::NONE, |root| root.version);
+        // Each proposal has a mesh of its own, also if two are built on the same version.
+        let content = mesh(100 * (base.0 + 1) + operator.len() as u64);
+        let root = next_root(
+            self.root.as_ref(),
+            &content,
+            operator,
+            operator,
+            "",
+            Timestamp(1),
+        );
+        self.proposals
+            .insert(operator.to_owned(), (root.unwrap(), base));
+    }
+
+    fn write(&mut self, operator: &str, arrives: bool, is_answered: bool) {
+        let (sent, base) = &self.proposals[operator];
+        let present = self
+            .root
+            .as_ref()
+            .map_or(Version::NONE, |root| root.version);
+        let is_written = arrives && present == *base;
+        if is_written {
+            self.root = Some(sent.clone());
+        }
+        assert!(!is_answered || is_written, "an answered write was accepted");
+    }
+
+    fn read_back(&self, operator: &str) -> String {
+        let (sent, base) = &self.proposals[operator];
+        match resolve_lost_answer(sent, *base, self.root.as_ref()) {
+            AfterWrite::Accepted(version) => format!("accepted {version}"),
+            AfterWrite::NotWritten => "not written".to_owned(),
+            AfterWrite::Lost(version) => format!("lost to {version}"),
+        }
+    }
+
+    fn held(&self, n: usize) -> Version {
+        let newest = self.fleet.get(n).log.newest();
+        newest.map_or(Version::NONE, |(version, _)| version)
+    }
+
+    fn restart(&mut self, n: usize) {
+        let known = self.running().filter(|other| *other != n);
+        let known = known.map(|other| self.held(other)).max();
+        let before = self.highest.get(&n).copied().unwrap_or(Version::NONE);
+        self.highest
+            .insert(n, before.min(known.unwrap_or(Version::NONE)));
+        self.fleet.add(n);
+    }
+
+    fn running(&self) -> impl Iterator<Item = usize> {
+        let is_up = |n: &usize| !self.fleet.down.contains(&node(*n));
+        (0..self.fleet.members.len()).filter(is_up)
+    }
+
+    /// No member has put an older version in force than one it has held.
+    fn check(&mut self, line: usize) {
+        for n in 0..self.fleet.members.len() {
+            let history = &self.fleet.get(n).history;
+            let grows = history.windows(2).all(|pair| pair[0] < pair[1]);
+            assert!(grows, "line {line}: {n} went back: {history:?}");
+            let first = history.first().copied();
+            let before = self.floors.get(&n).copied().unwrap_or(Version::NONE);
+            assert!(
+                first.is_none_or(|first| first >= before),
+                "line {line}: {n} held {before} and started with {first:?}"
+            );
+        }
+        for n in self.running().collect::<Vec<_>>() {
+            let held = self.held(n);
+            let highest = self.highest.entry(n).or_default();
+            *highest = held.max(*highest);
+        }
+    }
+}
+
+/// Guards against members that go back, stay behind, or split over a fault, and against operators
+/// who are told of another outcome than the one that holds.
+#[rstest]
+#[case::corrigan_calm_day(include_str!("traces/corrigan-calm-day.jsonl"))]
+#[case::corrigan_herd_while_the_platform_is_down(include_str!("traces/corrigan-herd.jsonl"))]
+#[case::corrigan_racing_operators(include_str!("traces/corrigan-racing-operators.jsonl"))]
+#[case::tilauskeskus_zone_cut(include_str!("traces/tilauskeskus-zone-cut.jsonl"))]
+#[case::tilauskeskus_two_faults_at_once(include_str!("traces/tilauskeskus-two-faults.jsonl"))]
+fn trace_has_its_stated_outcomes(#[case] trace: &str) {
+    let mut events = trace.lines().map(|line| {
+        serde_json::from_str::<Event>(line).unwrap_or_else(|err| panic!("{line}: {err}"))
+    });
+    let Some(Event::Start { members, zones }) = events.next() else {
+        panic!("a trace begins with start");
+    };
+    let mut replay = Replay::new(Fleet::start(members, zones));
+    for (at, event) in events.enumerate() {
+        replay.play(&event);
+        replay.check(at + 2);
+    }
+}
