Hash names by a library, in one place

The rings and the claim ranges each had an FNV-1a and a mixer of their own. Some names of membership and ejection say what they do.

--- a/crates/lavenderhatch-decide/src/endpoints/ejection.rs
+++ b/crates/lavenderhatch-decide/src/endpoints/ejection.rs
@@ -9,7 +9,7 @@
 /// Longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(300);
 /// Time without an ejection after which one of the earlier ejections no longer counts.
-const FORGIVEN_AFTER: Duration = Duration::from_secs(60);
+const EJECTION_DECAY: Duration = Duration::from_secs(60);
 
 /// Ejections of one backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,10 +28,10 @@
 
     /// Ejects the backend server, for twice as long as the last time. Returns the time.
     pub fn eject(&mut self, now: Timestamp) -> Duration {
-        let good = now.since(self.until).as_secs() / FORGIVEN_AFTER.as_secs();
+        let expired = now.since(self.until).as_secs() / EJECTION_DECAY.as_secs();
         self.count = self
             .count
-            .saturating_sub(good.min(u64::from(u32::MAX)) as u32);
+            .saturating_sub(expired.min(u64::from(u32::MAX)) as u32);
         let time = FIRST_EJECTION
             .saturating_mul(1 << self.count.min(16))
             .min(MAX_EJECTION);
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`orders`]: how an order runs at most once.
 //! - [`ranks`]: which waiting call runs next, and how many run at the same time.
 //! - [`retry`]: which failed calls are tried again.
+//! - [`stable_hash`]: hashes on which all daemons agree.
 //! - [`message`]: messages between daemons, independent of their encoding.
 
 pub mod acceptance;
@@ -27,4 +28,5 @@
 pub mod ranks;
 pub mod retry;
 pub mod routing;
+pub mod stable_hash;
 pub mod stops;
--- a/crates/lavenderhatch-decide/src/membership/held.rs
+++ b/crates/lavenderhatch-decide/src/membership/held.rs
@@ -6,8 +6,8 @@
 use lavenderhatch_core::{NodeId, Timestamp, Version, Zone};
 use serde::{Deserialize, Serialize};
 
-use super::stable_hash::stable_hash;
 use crate::message::HeldReport;
+use crate::stable_hash::stable_hash;
 
 /// Prefix of the names of status objects.
 pub const STATUS_PREFIX: &str = "status/";
--- a/crates/lavenderhatch-decide/src/membership/rings.rs
+++ b/crates/lavenderhatch-decide/src/membership/rings.rs
@@ -5,7 +5,7 @@
 
 use lavenderhatch_core::{MemberRecord, NodeId, Zone};
 
-use super::stable_hash::stable_hash;
+use crate::stable_hash::stable_hash;
 
 /// Rings of each zone.
 const ZONE_RINGS: usize = 3;
--- a/crates/lavenderhatch-decide/src/membership/state.rs
+++ b/crates/lavenderhatch-decide/src/membership/state.rs
@@ -13,9 +13,9 @@
 use super::held::HeldVersions;
 use super::join::Join;
 use super::link::Link;
-use super::stable_hash::stable_hash;
 use super::table::{MemberEvent, MemberTable};
 use crate::message::{HeldReport, Hello, Suspicion};
+use crate::stable_hash::stable_hash;
 
 /// What a daemon has in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -301,7 +301,7 @@
 
     /// Declares a member failed that was unreachable. The sequence number is raised on its behalf,
     /// because `failed` does not outrank `unreachable` under the same one.
-    pub(super) fn fail_alone(&mut self, id: &NodeId, now: Timestamp) -> Option<MemberEvent> {
+    pub(super) fn fail_unreachable(&mut self, id: &NodeId, now: Timestamp) -> Option<MemberEvent> {
         let record = self.table.by_id.get(id)?;
         let record = MemberRecord {
             state: MemberState::Failed,
--- a/crates/lavenderhatch-decide/src/membership/table.rs
+++ b/crates/lavenderhatch-decide/src/membership/table.rs
@@ -85,19 +85,22 @@
         Some(MemberEvent { record, before })
     }
 
-    /// Members that are unreachable for so long, in a zone most of which is live, that they have
-    /// failed on their own account. The members of a zone that is cut off stay as they are.
-    pub(super) fn failed_alone(&self, now: Timestamp) -> Vec<NodeId> {
+    /// Members that have been unreachable for long in a zone most of which is live. The members of a
+    /// zone that is cut off stay unreachable.
+    pub(super) fn failed_in_live_zone(&self, now: Timestamp) -> Vec<NodeId> {
         let is_old = |at: &Timestamp| now.since(*at) >= CUT_OFF_AGE;
         let old = self.cut_off.iter().filter(|(_, at)| is_old(at));
-        let is_alone = |id: &&NodeId| {
+        let is_in_live_zone = |id: &&NodeId| {
             let record = self.by_id.get(*id);
             record.is_some_and(|record| {
                 let live = self.zone_live(record).count();
                 live * 2 > self.rings.zone_len(&record.zone)
             })
         };
-        old.map(|(id, _)| id).filter(is_alone).cloned().collect()
+        old.map(|(id, _)| id)
+            .filter(is_in_live_zone)
+            .cloned()
+            .collect()
     }
 
     /// Drops members that have gone long ago, and returns their names.
--- a/crates/lavenderhatch-decide/src/membership/tick.rs
+++ b/crates/lavenderhatch-decide/src/membership/tick.rs
@@ -57,7 +57,7 @@
 impl Membership {
     /// Takes the time. To be called about four times a second. `random` is uniform over all values.
     pub fn tick(&mut self, held: HeldVersion, now: Timestamp, random: u64) -> TickActions {
-        self.excuse_pause(now);
+        self.restart_timers_after_pause(now);
         let mut actions = TickActions {
             events: self.judge(now),
             ..TickActions::default()
@@ -87,7 +87,7 @@
     }
 
     /// A daemon that was paused has heard nobody, which says nothing about the others.
-    fn excuse_pause(&mut self, now: Timestamp) {
+    fn restart_timers_after_pause(&mut self, now: Timestamp) {
         if now.since(self.last_tick) > PAUSE {
             self.links.values_mut().for_each(|link| link.since = now);
         }
@@ -116,8 +116,8 @@
             events.extend(self.mark(&id, state, now));
         }
         events.extend(self.mark_cut_off(&events.clone(), now));
-        for id in self.table.failed_alone(now) {
-            events.extend(self.fail_alone(&id, now));
+        for id in self.table.failed_in_live_zone(now) {
+            events.extend(self.fail_unreachable(&id, now));
         }
         if !events.is_empty() {
             self.refresh_links(now);
--- a/crates/lavenderhatch-decide/src/orders/range.rs
+++ b/crates/lavenderhatch-decide/src/orders/range.rs
@@ -5,12 +5,16 @@
 use lavenderhatch_core::member::Members;
 use lavenderhatch_core::{Digest, MemberRecord, NodeId};
 
+use crate::stable_hash::{stable_hash, stable_hash_of_number};
+
 /// Claim ranges of the whole fleet. At 4 commits a second each they write at most 256 times a
 /// second, of 300 that the platform allows.
 pub const RANGES: u16 = 64;
 
 /// Owners that are known for a range: the owner, and those that are asked if it cannot be reached.
 const CANDIDATES: usize = 3;
+/// Salt of the hash of a name in rankings.
+const NAME_SALT: u64 = 0;
 
 /// Number of a claim range. Invariant: less than [`RANGES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -65,7 +69,7 @@
     pub fn of(members: &Members) -> Self {
         let live: Vec<(&MemberRecord, u64)> = members
             .live()
-            .map(|record| (record, hash_name(record.id.as_str())))
+            .map(|record| (record, stable_hash(NAME_SALT, record.id.as_str())))
             .collect();
         Self {
             by_range: RangeId::all().map(|range| best(&live, range)).collect(),
@@ -92,15 +96,16 @@
 }
 
 fn fingerprint(members: &Members) -> u64 {
-    let hashes = members.live().map(|record| hash_name(record.id.as_str()));
-    hashes.fold(0, |sum, hash| sum.wrapping_add(mix(hash)))
+    let hashes = members
+        .live()
+        .map(|record| stable_hash(NAME_SALT, record.id.as_str()));
+    hashes.fold(0, u64::wrapping_add)
 }
 
 fn best(live: &[(&MemberRecord, u64)], range: RangeId) -> Vec<NodeId> {
-    let salt = mix(u64::from(range.0) + 1);
     let mut top: Vec<(u64, &NodeId)> = Vec::with_capacity(CANDIDATES + 1);
     for (record, hash) in live {
-        let weight = mix(hash ^ salt);
+        let weight = stable_hash_of_number(u64::from(range.0), *hash);
         let at = top.partition_point(|(present, id)| (*present, *id) < (weight, &record.id));
         if at < CANDIDATES {
             top.insert(at, (weight, &record.id));
@@ -109,19 +114,3 @@
     }
     top.into_iter().map(|(_, id)| id.clone()).collect()
 }
-
-/// FNV-1a of a name. Each daemon must come to the same value, so no seeded hash is used.
-fn hash_name(name: &str) -> u64 {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
-/// Spreads the bits of a number.
-///
-/// Source: Steele, Lea, Flood, "Fast Splittable Pseudorandom Number Generators", 2014.
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
