Read the start of a stop from the audit trail in its test

Cause: the test took the end of the last call on the leaving server for the moment at which it left, and asked that it lies after the start of the stop.

Change: the moment of leaving comes from the server's audit trail and must not lie before the start, to the millisecond. The other checks (no call cut, last new request within 3 s of the start) are as they were.

--- a/tests/testsuite/stops.rs
+++ b/tests/testsuite/stops.rs
@@ -1,7 +1,7 @@
 //! Planned stops and signals with real daemons.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lavenderhatch_standin::Behaviour;
 
@@ -86,6 +86,22 @@
     format!("POST /orders HTTP/1.1\r\nHost: {addr}\r\nContent-Length: 1\r\n\r\nx").into_bytes()
 }
 
+/// When a server began to leave, by its audit trail, in milliseconds since the Unix epoch.
+fn left_at(cluster: &Cluster, node: usize) -> u64 {
+    let addr = cluster.nodes[node].admin_addr;
+    let mut res = ureq::get(format!("http://{addr}/audit")).call().unwrap();
+    let audit = res.body_mut().read_to_vec().unwrap();
+    let audit: serde_json::Value = serde_json::from_slice(&audit).unwrap();
+    let events = audit["events"].as_array().unwrap();
+    let is_leave = |event: &&serde_json::Value| {
+        let reason = event["reason"].as_str().unwrap();
+        event["action"] == "stop-changed" && reason.starts_with("leaving")
+    };
+    events.iter().find(is_leave).unwrap()["at"]
+        .as_u64()
+        .unwrap()
+}
+
 /// Guards against requests that are cut by a planned stop, and against new work that reaches the
 /// leaving server later than 3 s after the start, through any daemon.
 #[test]
@@ -107,7 +123,9 @@
     assert_eq!(failures(&calls), Vec::<&String>::new());
     let last = last_on(&calls, "n0").unwrap();
     let service = Duration::from_millis(SERVICE_MS);
-    assert!(last >= start_instant, "the server left before its start");
+    let left_at = left_at(&cluster, 0);
+    let start_ms = start.duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    assert!(left_at >= start_ms, "the server left before its start");
     assert!(last - service <= start_instant + P7_LIMIT);
     assert_eq!(cluster.nodes[0].backend.counts().total, drained);
 }
