--- a/crates/lavenderhatch-daemon/src/admin/port.rs
+++ b/crates/lavenderhatch-daemon/src/admin/port.rs
@@ -82,7 +82,7 @@
         }
         ("GET", "/config") => config(board),
         ("GET", "/audit") => json(&AuditLog::clone(&board.audit.load())),
-        ("GET", "/metrics") => metrics(board, telemetry),
+        ("GET", "/metrics") => metrics(board, telemetry, traffic),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
@@ -152,8 +152,8 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-fn metrics(board: &Blackboard, telemetry: &Telemetry) -> Response<Body> {
-    match telemetry.encode(board) {
+fn metrics(board: &Blackboard, telemetry: &Telemetry, traffic: &ControlTraffic) -> Response<Body> {
+    match telemetry.encode(board, traffic.bytes()) {
         Ok(text) => content("text/plain; version=0.0.4", text.into_bytes()),
         Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
     }
--- a/crates/lavenderhatch-daemon/src/metrics.rs
+++ b/crates/lavenderhatch-daemon/src/metrics.rs
@@ -18,6 +18,8 @@
 use prometheus::core::Collector;
 use prometheus::{Registry, TextEncoder};
 
+use crate::peer::ControlBytes;
+
 pub use platform::{ObservedPlatform, PlatformObserver, PlatformStatus};
 pub use recent::{CallSummary, RecentCalls};
 
@@ -64,8 +66,8 @@
     }
 
     /// The metrics in the text format of Prometheus.
-    pub fn encode(&self, board: &Blackboard) -> Result<String> {
-        self.board.refresh(board);
+    pub fn encode(&self, board: &Blackboard, control: ControlBytes) -> Result<String> {
+        self.board.refresh(board, control);
         self.platform.refresh();
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
--- a/crates/lavenderhatch-daemon/src/metrics/board.rs
+++ b/crates/lavenderhatch-daemon/src/metrics/board.rs
@@ -1,4 +1,4 @@
-//! Metrics that are read from the blackboard when they are collected.
+//! Metrics that are read from the blackboard and the peer links when they are collected.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
@@ -11,6 +11,7 @@
 use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 use super::register;
+use crate::peer::ControlBytes;
 
 const STATES: &[(MemberState, &str)] = &[
     (MemberState::Starting, "starting"),
@@ -46,6 +47,7 @@
     claims: IntCounterVec,
     audit_events: IntCounterVec,
     audit_dropped: IntCounter,
+    control_bytes: IntCounterVec,
     /// Collections take turns, so that a counter is raised by each difference once.
     turn: Mutex<Turn>,
 }
@@ -120,18 +122,26 @@
             claims: counters("lavenderhatch_claims_total", "Claims of orders", "result")?,
             audit_events: counters("lavenderhatch_audit_events_total", "Audit events", "action")?,
             audit_dropped: register(registry, dropped)?,
+            control_bytes: counters(
+                "lavenderhatch_control_bytes_total",
+                "Bytes of messages between daemons that carry no calls",
+                "direction",
+            )?,
             turn: Mutex::default(),
         })
     }
 
-    /// Reads the blackboard.
-    pub(super) fn refresh(&self, board: &Blackboard) {
+    /// Reads the blackboard and the bytes that the peer links have counted.
+    pub(super) fn refresh(&self, board: &Blackboard, control: ControlBytes) {
         let mut turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
         self.refresh_config(board, &mut turn);
         self.refresh_members(board);
         self.refresh_stops(board);
         self.refresh_load(&board.load.load());
         self.refresh_counts(board);
+        for (direction, bytes) in [("sent", control.sent), ("received", control.received)] {
+            raise(&self.control_bytes.with_label_values(&[direction]), bytes);
+        }
     }
 
     fn refresh_config(&self, board: &Blackboard, turn: &mut Turn) {
--- a/crates/lavenderhatch-daemon/tests/testsuite/metrics.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/metrics.rs
@@ -8,8 +8,13 @@
 use lavenderhatch_core::error_kind::Outcome;
 use lavenderhatch_core::{ErrorKind, RouteName, Timestamp, Version};
 use lavenderhatch_daemon::metrics::{CallSummary, ObservedPlatform, Telemetry};
+use lavenderhatch_daemon::peer::ControlBytes;
 use lavenderhatch_platform::{Expected, Faults, MemoryPlatform, Platform};
 
+const CONTROL: ControlBytes = ControlBytes {
+    sent: 11,
+    received: 13,
+};
 const PAGE: &str = include_str!("../../../../docs/metrics.md");
 
 fn ran() -> CallAnswer {
@@ -35,7 +40,7 @@
 }
 
 fn lines(telemetry: &Telemetry, board: &Blackboard) -> BTreeSet<String> {
-    let text = telemetry.encode(board).unwrap();
+    let text = telemetry.encode(board, CONTROL).unwrap();
     text.lines().map(str::to_owned).collect()
 }
 
@@ -58,6 +63,7 @@
     let lines = lines(&telemetry, &board);
     for line in [
         r#"lavenderhatch_calls_total{error="none",outcome="ran",route="search"} 2"#,
+        r#"lavenderhatch_control_bytes_total{direction="received"} 13"#,
         r#"lavenderhatch_calls_total{error="overloaded",outcome="not-run",route="search"} 1"#,
         r#"lavenderhatch_call_duration_seconds_bucket{route="search",le="0.0025"} 3"#,
         r#"lavenderhatch_call_body_bytes_total{direction="request"} 9"#,
@@ -83,7 +89,7 @@
     record(&telemetry, "a", 1, &ran());
     let platform = ObservedPlatform::new(MemoryPlatform::default(), telemetry.platform.clone());
     platform.put("a", b"v", Expected::Absent).unwrap();
-    let text = telemetry.encode(&board).unwrap();
+    let text = telemetry.encode(&board, CONTROL).unwrap();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let actual: BTreeSet<&str> = types.filter_map(|line| line.split(' ').next()).collect();
     let rows = PAGE
