Keep idle threads of the path of a call for five minutes

Cause, in part: threads for blocking callers' requests and for calls of peers ended after 10 s without work and were started again in the middle of a call. Runs of 10 s for each leg showed a tail that runs of 2.5 s do not have.

The local leg with 256 callers has a tail still, whose cause is not found; one run each does not tell more.

--- a/crates/lavenderhatch-daemon/src/http/server.rs
+++ b/crates/lavenderhatch-daemon/src/http/server.rs
@@ -26,6 +26,9 @@
 
 /// Threads that read requests and write answers while no handler blocks them.
 const IO_THREADS: usize = 2;
+/// Time for which a thread without work is kept. Starting a thread in the middle of a call is seen
+/// in the call's latency.
+const THREAD_KEEP_ALIVE: Duration = Duration::from_secs(300);
 /// Most headers of a request.
 const MAX_HEADERS: usize = 128;
 /// Time for the refusal of a caller beyond the limit to be taken.
@@ -81,6 +84,7 @@
         let runtime = Builder::new_multi_thread()
             .worker_threads(IO_THREADS)
             .max_blocking_threads(max_connections)
+            .thread_keep_alive(THREAD_KEEP_ALIVE)
             .thread_name("caller")
             .enable_all()
             .build()?;
--- a/crates/lavenderhatch-daemon/src/request/carry.rs
+++ b/crates/lavenderhatch-daemon/src/request/carry.rs
@@ -20,7 +20,7 @@
 use crate::peer::CarryJob;
 
 /// Time after which a thread without work ends if another one is idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 
 /// Orders with a key that wait for a thread. More are refused.
 const ORDER_QUEUE: usize = 1024;
