--- a/crates/lavenderhatch-bench/src/bin/stops/callers.rs
+++ b/crates/lavenderhatch-bench/src/bin/stops/callers.rs
@@ -81,7 +81,7 @@
     let mut calls = Vec::new();
     while stopped.try_recv() == Err(TryRecvError::Empty) {
         let begin = Instant::now();
-        let result = agent.post(format!("http://{}/work", addrs[at])).send("x");
+        let result = agent.post(format!("http://{}/jobs", addrs[at])).send("x");
         let is_closed = result
             .as_ref()
             .map_or(true, |res| res.headers().contains_key("connection"));
--- a/crates/lavenderhatch-bench/src/bin/stops/main.rs
+++ b/crates/lavenderhatch-bench/src/bin/stops/main.rs
@@ -171,7 +171,7 @@
     format!(
         r#"{{ "ranks": {{ "urgent": {{ "target_ms": 50, "worth": 100, "share": 0.4 }} }},
   "services": {{ "work": {{ "slots": {SLOTS} }} }},
-  "routes": {{ "work": {{ "path": "/work", "service": "work", "rank": "urgent",
+  "routes": {{ "work": {{ "path": "/jobs", "service": "work", "rank": "urgent",
                          "timeout_ms": 8000, "idempotent": false }} }},
   "stops": {{ {stops} }} }}"#
     )
