Remove a second call-id generator, a repeated split and unused news

Each request that enters the path of a call has an id from the caller port, so the counter and the generator inside the path were dead. The split of a target's query stood three times and is one function now. The platform reader reported an empty platform, on which nobody acted; its channel carries whole meshes only.

--- a/crates/lavenderhatch-daemon/src/controller.rs
+++ b/crates/lavenderhatch-daemon/src/controller.rs
@@ -28,6 +28,6 @@
 pub use load::LoadController;
 pub use membership::MembershipController;
 pub use order::OrderController;
-pub use platform_reader::{PlatformReader, RootNews};
+pub use platform_reader::PlatformReader;
 pub use stop::{LeaveSender, StopController};
 pub use zone_objects::{ZoneJob, ZoneObjects};
--- a/crates/lavenderhatch-daemon/src/controller/distribution.rs
+++ b/crates/lavenderhatch-daemon/src/controller/distribution.rs
@@ -12,12 +12,11 @@
 use lavenderhatch_decide::distribution::{
     DeltaLog, PullResult, Puller, Refusal, Step, Transfers, evaluate_update,
 };
-use lavenderhatch_decide::message::{Update, UpdateRequest};
+use lavenderhatch_decide::message::{Update, UpdateRequest, Whole};
 use tracing::{debug, info, warn};
 
 use super::audit::AuditSender;
 use super::handle::ControllerHandle;
-use super::platform_reader::RootNews;
 use super::steady_clock::SteadyClock;
 use crate::peer::{DistributionRequest, PeerCommand, PeerLinks, PeerReply};
 
@@ -38,7 +37,7 @@
     /// Requests of peers.
     pub requests: Receiver<DistributionRequest>,
     /// What the platform reader reports.
-    pub news: Receiver<RootNews>,
+    pub news: Receiver<Whole>,
     /// Links to peers.
     pub links: PeerLinks,
     /// Audit trail.
@@ -111,10 +110,9 @@
                     Err(_) => return,
                 },
                 recv(self.cx.news) -> news => match news {
-                    Ok(RootNews::Whole(whole)) => {
+                    Ok(whole) => {
                         drop(self.evaluate(&Update::Whole(whole), Source::Platform));
                     }
-                    Ok(RootNews::Empty) => {}
                     Err(_) => return,
                 },
                 recv(self.updates) -> reply => match reply {
--- a/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
+++ b/crates/lavenderhatch-daemon/src/controller/platform_reader.rs
@@ -23,15 +23,6 @@
 /// every daemon of a fleet that starts watches for a moment.
 const JOIN_TIME: Duration = Duration::from_secs(2);
 
-/// What the platform says about the accepted configuration.
-#[derive(Clone, Debug)]
-pub enum RootNews {
-    /// A whole mesh.
-    Whole(Whole),
-    /// Nothing was accepted yet.
-    Empty,
-}
-
 /// Reads the root object as often as this daemon's role asks.
 #[derive(Debug)]
 pub struct PlatformReader<P> {
@@ -42,7 +33,7 @@
     /// Known members.
     pub members: SectionReader<Members>,
     /// Where what was read goes.
-    pub news: Sender<RootNews>,
+    pub news: Sender<Whole>,
 }
 
 impl<P: Platform> PlatformReader<P> {
@@ -118,11 +109,7 @@
     fn read_first(&mut self, stop: &Receiver<()>) -> bool {
         loop {
             let read = self.cx.platform.get(ROOT_NAME);
-            let is_empty = matches!(read, Ok(None));
             let Some(wait) = self.take(read) else {
-                if is_empty {
-                    let _ = self.cx.news.send(RootNews::Empty);
-                }
                 return true;
             };
             if !self.cx.members.load().heard.is_empty() {
@@ -175,7 +162,7 @@
             mesh,
         };
         self.seen = object.version;
-        let _ = self.cx.news.send(RootNews::Whole(whole));
+        let _ = self.cx.news.send(whole);
         Ok(())
     }
 }
@@ -186,6 +173,6 @@
 }
 
 /// The queue of what the reader reports.
-pub(crate) fn news_channel() -> (Sender<RootNews>, Receiver<RootNews>) {
+pub(crate) fn news_channel() -> (Sender<Whole>, Receiver<Whole>) {
     bounded(16)
 }
--- a/crates/lavenderhatch-daemon/src/request/caller_port.rs
+++ b/crates/lavenderhatch-daemon/src/request/caller_port.rs
@@ -156,7 +156,7 @@
             key: self.key,
             deadline: self.deadline,
             depth: self.depth,
-            call_id: Some(self.call_id),
+            call_id: self.call_id,
         }
     }
 }
--- a/crates/lavenderhatch-daemon/src/request/observer.rs
+++ b/crates/lavenderhatch-daemon/src/request/observer.rs
@@ -6,7 +6,7 @@
 use lavenderhatch_core::call::CallAnswer;
 use lavenderhatch_core::{ConfigSnapshot, NodeId, Timestamp, Version};
 
-use super::path::IncomingRequest;
+use super::path::{IncomingRequest, path_of};
 use crate::metrics::{CallSummary, Telemetry};
 
 /// Observes the calls of one caller port.
@@ -39,14 +39,11 @@
         let start = Instant::now();
         let answer = handle();
         let elapsed = start.elapsed();
-        let path = req
-            .target
-            .split_once('?')
-            .map_or(req.target, |(path, _)| path);
+        let path = path_of(req.target);
         let entry = config.and_then(|config| config.routes.find(req.method, path));
         let version = config.map_or(Version::NONE, |config| config.version);
         let call = CallSummary {
-            id: req.call_id.unwrap_or_default(),
+            id: req.call_id,
             method: req.method,
             path,
             body_bytes: req.body.len(),
--- a/crates/lavenderhatch-daemon/src/request/order_keys.rs
+++ b/crates/lavenderhatch-daemon/src/request/order_keys.rs
@@ -7,15 +7,14 @@
 use lavenderhatch_core::{Error, ErrorKind};
 
 use super::backend::Backend;
-use super::path::{IncomingRequest, PeerCaller, RequestPath};
+use super::path::{IncomingRequest, PeerCaller, RequestPath, path_of};
 
 /// Where callers ask for a key.
 const KEYS_PATH: &str = "/.well-known/lavenderhatch/keys";
 
 /// Whether a request asks for a key.
 pub(super) fn asks_for_key(method: &str, target: &str) -> bool {
-    let path = target.split_once('?').map_or(target, |(path, _)| path);
-    method == "POST" && path == KEYS_PATH
+    method == "POST" && path_of(target) == KEYS_PATH
 }
 
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
--- a/crates/lavenderhatch-daemon/src/request/path.rs
+++ b/crates/lavenderhatch-daemon/src/request/path.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use lavenderhatch_core::blackboard::Blackboard;
@@ -61,8 +60,8 @@
     pub deadline: Option<Duration>,
     /// Daemons that the call has passed.
     pub depth: u8,
-    /// Identifies the call, if the caller says so.
-    pub call_id: Option<&'a str>,
+    /// Identifies the call. The caller port makes an id for a caller that gives none.
+    pub call_id: &'a str,
 }
 
 /// The path of a call on this daemon.
@@ -77,7 +76,6 @@
     pub(super) peers: L,
     pub(super) orders: OrderClient,
     pub(super) budget: SharedRetryBudget,
-    next_call: AtomicU64,
 }
 
 impl<B: Backend, L: PeerCaller> RequestPath<B, L> {
@@ -101,7 +99,6 @@
             backend,
             peers,
             orders,
-            next_call: AtomicU64::new(1),
         }
     }
 
@@ -152,10 +149,7 @@
         let Some(config) = config.as_ref() else {
             return Err(not_ready());
         };
-        let path = req
-            .target
-            .split_once('?')
-            .map_or(req.target, |(path, _)| path);
+        let path = path_of(req.target);
         let Some(RouteEntry { name, route }) = config.routes.find(req.method, path) else {
             let message = format!("no route takes {} {path}", req.method);
             return Err(Error::new(ErrorKind::NoRoute, message));
@@ -184,9 +178,7 @@
             .deadline
             .map_or(route.timeout(), |left| left.min(route.timeout()));
         StoredCall {
-            id: req
-                .call_id
-                .map_or_else(|| self.new_call_id(), str::to_owned),
+            id: req.call_id.to_owned(),
             method: req.method.to_owned(),
             target: req.target.to_owned(),
             route: name.to_string(),
@@ -201,11 +193,6 @@
         }
     }
 
-    fn new_call_id(&self) -> String {
-        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{number:x}", self.own)
-    }
-
     pub(super) fn leaving(&self) -> Error {
         Error::new(ErrorKind::Leaving, format!("{} is leaving", self.own))
     }
@@ -229,3 +216,8 @@
 pub(super) fn not_ready() -> Error {
     Error::new(ErrorKind::NotReady, "no configuration is in force yet")
 }
+
+/// The path of a target, without its query.
+pub(super) fn path_of(target: &str) -> &str {
+    target.split_once('?').map_or(target, |(path, _)| path)
+}
--- a/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/leaving.rs
@@ -173,7 +173,7 @@
         key: None,
         deadline: None,
         depth: 0,
-        call_id: None,
+        call_id: "1",
     }
 }
 
