--- a/crates/lavenderhatch-core/src/lib.rs
+++ b/crates/lavenderhatch-core/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! - [`names`]: checked names of backend servers, zones, services, routes, ranks and stops.
 //! - [`mesh`]: the configuration that operators describe, checked as a whole.
+//! - [`routing`]: routes by host and path prefix.
 //! - [`error_kind`]: error kinds and the table from kind to answer.
 //! - [`blackboard`]: sections with one writer each, published by read-copy-update.
 //! - [`member`], [`endpoint`], [`drain`], [`load`], [`claims`], [`audit`]: what the sections hold.
@@ -29,6 +30,7 @@
 pub mod member;
 pub mod mesh;
 pub mod names;
+pub mod routing;
 pub mod timestamp;
 pub mod version;
 
--- a/crates/lavenderhatch-core/src/load.rs
+++ b/crates/lavenderhatch-core/src/load.rs
@@ -1,11 +1,13 @@
 //! The `load` section: concurrency limit and queues of this backend server.
 
+mod packed_gate;
 mod rank_counters;
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use packed_gate::{AtomicWord, Entry, GateState, PackedGate};
 pub use rank_counters::{RankCounters, SharedCounters};
 
 use crate::names::RankName;
--- /dev/null
+++ b/crates/lavenderhatch-core/src/routing.rs
@@ -0,0 +1,9 @@
+//! Routes by host and path prefix, as the path of a request reads them.
+
+mod caller_limits;
+mod host_route;
+mod routing_table;
+
+pub use caller_limits::CallerLimits;
+pub use host_route::{HostRoute, Part};
+pub use routing_table::RoutingTable;
--- /dev/null
+++ b/crates/lavenderhatch-core/src/routing/caller_limits.rs
@@ -0,0 +1,27 @@
+//! Limits on what a caller may send.
+
+use std::time::Duration;
+
+/// Limits on what a caller may send, and on how long it may take or stay idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for the head of a request to arrive.
+    pub head_timeout: Duration,
+    /// Time after which an idle connection may be closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 64 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- a/crates/lavenderhatch-daemon/src/request/gate.rs
+++ b/crates/lavenderhatch-daemon/src/request/gate.rs
@@ -3,7 +3,6 @@
 //! If a slot is free and nobody waits, a call enters by one compare-and-swap. Otherwise it is
 //! handed to the load controller, which grants or refuses it.
 
-mod packed;
 mod permit;
 
 use std::sync::Arc;
@@ -18,7 +17,7 @@
 
 use crate::peer::CarryJob;
 
-pub use packed::{AtomicWord, Entry, GateState, PackedGate};
+pub use lavenderhatch_core::load::{AtomicWord, Entry, GateState, PackedGate};
 pub use permit::Permit;
 
 /// Requests on their way to the load controller. More are refused.
--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod message;
 pub mod orders;
 pub mod ranks;
+pub mod relay;
 pub mod retry;
 pub mod routing;
 pub mod stable_hash;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/relay/gate_queue.rs
@@ -0,0 +1,164 @@
+//! Requests that wait for a slot of a backend server.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+use super::demand::Demand;
+use super::service_times::ServiceTimes;
+
+/// A request of a less urgent rank gets a slot after this many of more urgent ranks have gone ahead
+/// of it, so that no rank is starved.
+const MAX_PASSED_OVER: u32 = 7;
+/// Shortest advised time before a refused request is sent again.
+const MIN_ADVICE: Duration = Duration::from_millis(20);
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+/// A request that gets no slot. It did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Time after which a slot is expected to be free.
+    pub retry_after: Duration,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    ticket: Ticket,
+    demand: Demand,
+    item: T,
+}
+
+/// Requests that wait for a slot of a backend server.
+///
+/// Load that it answers: arrivals above the capacity of the backend server. Requests that can still
+/// meet their target go first, the more urgent rank before the less urgent, then the earliest
+/// target. A request that is not expected to start in time is refused when it comes, so that it does
+/// not wait in vain and its caller can come back.
+#[derive(Debug)]
+pub struct GateQueue<T> {
+    waiting: Vec<Waiting<T>>,
+    next_ticket: u64,
+    service: ServiceTimes,
+    /// Requests of more urgent ranks that went ahead while a less urgent one waited.
+    passed_over: u32,
+}
+
+impl<T> Default for GateQueue<T> {
+    fn default() -> Self {
+        Self {
+            waiting: Vec::new(),
+            next_ticket: 0,
+            service: ServiceTimes::default(),
+            passed_over: 0,
+        }
+    }
+}
+
+impl<T> GateQueue<T> {
+    /// Queues a request for one of `slots`, or refuses it if no slot is expected to be free in time.
+    pub fn offer(
+        &mut self,
+        item: T,
+        demand: Demand,
+        slots: u32,
+        now: Timestamp,
+    ) -> Result<Ticket, Refusal> {
+        let wait = self.expected_wait(&demand, slots);
+        let service = self.service.of(demand.class);
+        if slots == 0 || now + wait > demand.latest_start(service) {
+            return Err(self.refusal(slots));
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.waiting.push(Waiting {
+            ticket,
+            demand,
+            item,
+        });
+        Ok(ticket)
+    }
+
+    /// Takes the request that gets the next free slot.
+    pub fn pop(&mut self, now: Timestamp) -> Option<T> {
+        let at = self.next_position(now)?;
+        let priority = self.waiting[at].demand.priority;
+        let is_passed = |other: &Waiting<T>| other.demand.priority > priority;
+        self.passed_over = match self.waiting.iter().any(is_passed) {
+            true => self.passed_over + 1,
+            false => 0,
+        };
+        Some(self.waiting.swap_remove(at).item)
+    }
+
+    /// Removes a request that no longer waits. Returns whether it was there.
+    pub fn remove(&mut self, ticket: Ticket) -> bool {
+        let at = self.waiting.iter().position(|w| w.ticket == ticket);
+        at.map(|at| self.waiting.swap_remove(at)).is_some()
+    }
+
+    /// Takes all requests, for a backend server that takes no more.
+    pub fn drain(&mut self) -> Vec<T> {
+        self.waiting.drain(..).map(|waiting| waiting.item).collect()
+    }
+
+    /// Takes in the time that a request held its slot.
+    pub fn record(&mut self, class: u64, took: Duration) {
+        self.service.record(class, took);
+    }
+
+    /// Mean service time of a kind of request.
+    pub fn service_time(&self, class: u64) -> Duration {
+        self.service.of(class)
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// What a request is told that gets no slot.
+    pub fn refusal(&self, slots: u32) -> Refusal {
+        let ahead = self.waiting.len() as u32 + 1;
+        let wait = self.service.overall() * ahead / slots.max(1);
+        Refusal {
+            retry_after: wait.max(MIN_ADVICE),
+        }
+    }
+
+    /// Time until a slot is free for a request, given those that go ahead of it.
+    fn expected_wait(&self, demand: &Demand, slots: u32) -> Duration {
+        let goes_ahead = |other: &&Waiting<T>| other.demand.priority <= demand.priority;
+        let ahead = self.waiting.iter().filter(goes_ahead);
+        let work: Duration = ahead.map(|w| self.service.of(w.demand.class)).sum();
+        // On average the next slot becomes free after one service time over the slots.
+        (work + self.service.overall()) / slots.max(1)
+    }
+
+    fn next_position(&self, now: Timestamp) -> Option<usize> {
+        if self.passed_over >= MAX_PASSED_OVER {
+            let least = self.waiting.iter().map(|w| w.demand.priority).max()?;
+            return self.best(now, |demand| demand.priority == least);
+        }
+        self.best(now, |_| true)
+    }
+
+    fn best(&self, now: Timestamp, is_eligible: impl Fn(&Demand) -> bool) -> Option<usize> {
+        let key = |at: &usize| {
+            let demand = &self.waiting[*at].demand;
+            let service = self.service.of(demand.class);
+            let is_late = !demand.is_on_time(service, now);
+            (is_late, demand.priority, demand.target_at)
+        };
+        (0..self.waiting.len())
+            .filter(|at| is_eligible(&self.waiting[*at].demand))
+            .min_by_key(key)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/relay/next_step.rs
@@ -0,0 +1,70 @@
+//! What follows the end of an attempt.
+
+use std::time::Duration;
+
+/// Least time that must be left for another attempt to be of use.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
+
+/// How an attempt to have a request run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// A backend server ran the request and gave its answer.
+    Answered {
+        /// Whether the answer is a server error (5xx).
+        is_server_error: bool,
+    },
+    /// The request did not run.
+    NotRun {
+        /// Whether a backend server has seen it and refused it.
+        has_arrived: bool,
+    },
+    /// The request may have run.
+    Unknown,
+}
+
+/// Attempts that were made for a request so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Attempts in which a backend server saw the request.
+    pub arrived: u32,
+    /// Attempts in all.
+    pub placed: u32,
+}
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// The end of the attempt is the end of the request.
+    Finish,
+    /// The request is sent to another backend server. This draws on the retry budget.
+    Retry,
+    /// The request is sent to another backend server. No backend server has seen it.
+    PlaceElsewhere,
+}
+
+/// Most backend servers that are asked for a slot for one request.
+const MAX_PLACED: u32 = 4;
+
+/// Decides what follows the end of an attempt. `attempts` counts the attempt that has ended.
+pub fn next_step(
+    end: AttemptEnd,
+    attempts: Attempts,
+    is_idempotent: bool,
+    max_attempts: u32,
+    time_left: Duration,
+) -> NextStep {
+    if time_left < MIN_TIME_LEFT || attempts.placed >= MAX_PLACED {
+        return NextStep::Finish;
+    }
+    let may_repeat = match end {
+        AttemptEnd::Answered { is_server_error } => is_server_error && is_idempotent,
+        AttemptEnd::Unknown => is_idempotent,
+        AttemptEnd::NotRun { .. } => true,
+    };
+    match may_repeat {
+        false => NextStep::Finish,
+        true if attempts.arrived == 0 => NextStep::PlaceElsewhere,
+        true if attempts.arrived < max_attempts => NextStep::Retry,
+        true => NextStep::Finish,
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/board/endpoint.rs
@@ -0,0 +1,42 @@
+//! A backend server as other daemons see it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_decide::relay::Candidate;
+
+use super::endpoint_stats::EndpointStats;
+
+/// A backend server that takes requests.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Identity of the backend server.
+    pub id: String,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// The daemon beside it.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it is beside this daemon.
+    pub is_local: bool,
+    /// What this daemon has seen of it. Shared by the snapshots that hold the endpoint.
+    pub stats: Arc<EndpointStats>,
+}
+
+impl Endpoint {
+    /// What the choice of a backend server needs.
+    pub fn candidate(&self, zone: &str, now: Timestamp) -> Candidate {
+        Candidate {
+            load: self.stats.load(now),
+            slots: self.slots,
+            slowness: self.stats.slowness(),
+            failures: self.stats.failures(now),
+            is_near: self.zone == zone,
+            is_open: self.stats.is_open(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
@@ -0,0 +1,136 @@
+//! What this daemon has seen of a backend server.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+/// Time after which a reported load says nothing more, in milliseconds.
+const REPORT_LIFE_MS: f64 = 1000.0;
+/// Weight of one request in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Time in which a share of failures halves while no request is sent, in milliseconds.
+const FAILURE_HALF_LIFE_MS: f64 = 4000.0;
+/// Weight of one request in the slowness.
+const SLOWNESS_WEIGHT: f64 = 0.05;
+/// Slowness is kept within this factor of the mean, so that a few long requests do not shut out a
+/// backend server.
+const MAX_SLOWNESS: f64 = 8.0;
+/// First time for which a daemon is left alone that cannot be reached. Doubles with each failure.
+const UNREACHABLE_MS: u64 = 300;
+/// Longest time for which a daemon is left alone.
+const MAX_UNREACHABLE_MS: u64 = 1200;
+
+/// Counters and moving means, shared by the threads of the request path.
+///
+/// Each value is read and written alone; a mean may lose a sample to another thread, which changes
+/// the choice between backend servers only a little.
+#[derive(Debug)]
+pub struct EndpointStats {
+    /// Requests of this daemon that run or wait there.
+    outstanding: AtomicU32,
+    /// Requests of other daemons there, as last reported.
+    others: AtomicU32,
+    reported_at: AtomicU64,
+    /// Bits of an `f64`.
+    slowness: AtomicU64,
+    /// Bits of an `f64`.
+    failures: AtomicU64,
+    failures_at: AtomicU64,
+    closed_until: AtomicU64,
+    /// Connections in a row that could not be made.
+    unreachable: AtomicU32,
+}
+
+impl Default for EndpointStats {
+    fn default() -> Self {
+        Self {
+            outstanding: AtomicU32::new(0),
+            others: AtomicU32::new(0),
+            reported_at: AtomicU64::new(0),
+            slowness: AtomicU64::new(1f64.to_bits()),
+            failures: AtomicU64::new(0f64.to_bits()),
+            failures_at: AtomicU64::new(0),
+            closed_until: AtomicU64::new(0),
+            unreachable: AtomicU32::new(0),
+        }
+    }
+}
+
+impl EndpointStats {
+    /// Counts a request that is sent.
+    pub fn begin(&self) {
+        self.outstanding.fetch_add(1, Relaxed);
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&self) {
+        self.outstanding.fetch_sub(1, Relaxed);
+    }
+
+    /// Requests that run or wait there, as far as is known.
+    pub fn load(&self, now: Timestamp) -> u32 {
+        let age = now.since(Timestamp(self.reported_at.load(Relaxed)));
+        let trust = (1.0 - age.as_millis() as f64 / REPORT_LIFE_MS).max(0.0);
+        let others = f64::from(self.others.load(Relaxed)) * trust;
+        self.outstanding.load(Relaxed) + others as u32
+    }
+
+    /// Takes in the number of requests at the backend server, those of this daemon included.
+    pub fn report(&self, total: u32, now: Timestamp) {
+        let others = total.saturating_sub(self.outstanding.load(Relaxed));
+        self.others.store(others, Relaxed);
+        self.reported_at.store(now.0, Relaxed);
+    }
+
+    /// Takes in whether a request failed there.
+    pub fn record_result(&self, is_failure: bool, now: Timestamp) {
+        self.unreachable.store(0, Relaxed);
+        let before = self.failures(now);
+        let sample = f64::from(u8::from(is_failure));
+        let after = before + (sample - before) * FAILURE_WEIGHT;
+        self.failures.store(after.to_bits(), Relaxed);
+        self.failures_at.store(now.0, Relaxed);
+    }
+
+    /// Share of requests that have failed lately.
+    pub fn failures(&self, now: Timestamp) -> f64 {
+        let age = now.since(Timestamp(self.failures_at.load(Relaxed)));
+        let halvings = age.as_millis() as f64 / FAILURE_HALF_LIFE_MS;
+        f64::from_bits(self.failures.load(Relaxed)) * 0.5f64.powf(halvings)
+    }
+
+    /// Takes in a service time and the mean of its kind over all backend servers.
+    pub fn record_service(&self, took: Duration, mean: Duration) {
+        if mean.is_zero() {
+            return;
+        }
+        let ratio = took.as_secs_f64() / mean.as_secs_f64();
+        let ratio = ratio.clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
+        let before = self.slowness();
+        let after = before + (ratio - before) * SLOWNESS_WEIGHT;
+        self.slowness.store(after.to_bits(), Relaxed);
+    }
+
+    /// Its service time over the mean of all backend servers.
+    pub fn slowness(&self) -> f64 {
+        f64::from_bits(self.slowness.load(Relaxed))
+    }
+
+    /// Leaves it alone until `until`.
+    pub fn close(&self, until: Timestamp) {
+        self.closed_until.fetch_max(until.0, Relaxed);
+    }
+
+    /// Leaves it alone for a growing time, after a connection could not be made.
+    pub fn close_unreachable(&self, now: Timestamp) {
+        let failures = self.unreachable.fetch_add(1, Relaxed).min(8);
+        let wait = (UNREACHABLE_MS << failures).min(MAX_UNREACHABLE_MS);
+        self.close(now + Duration::from_millis(wait));
+    }
+
+    /// Whether it may be chosen.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.closed_until.load(Relaxed) <= now.0
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/board/endpoint_view.rs
@@ -0,0 +1,45 @@
+//! Backend servers by service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::endpoint::Endpoint;
+
+/// Backend servers by service.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointView {
+    services: HashMap<String, Vec<Arc<Endpoint>>>,
+    /// Daemons that share the retry budget.
+    pub daemons: usize,
+}
+
+impl EndpointView {
+    /// The backend servers of each service. What was seen of those that `before` held is kept.
+    pub fn update(
+        before: &EndpointView,
+        endpoints: impl IntoIterator<Item = (String, Endpoint)>,
+        daemons: usize,
+    ) -> Self {
+        let mut services: HashMap<String, Vec<Arc<Endpoint>>> = HashMap::new();
+        for (service, mut endpoint) in endpoints {
+            let known = before.of(&service).iter().find(|known| {
+                known.id == endpoint.id
+                    && known.born == endpoint.born
+                    && known.addr == endpoint.addr
+            });
+            if let Some(known) = known {
+                endpoint.stats = Arc::clone(&known.stats);
+            }
+            services
+                .entry(service)
+                .or_default()
+                .push(Arc::new(endpoint));
+        }
+        Self { services, daemons }
+    }
+
+    /// Backend servers of a service.
+    pub fn of(&self, service: &str) -> &[Arc<Endpoint>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/clock.rs
@@ -0,0 +1,28 @@
+//! The steady clock of the daemon.
+
+use std::time::Instant;
+
+use lavenderhatch_core::Timestamp;
+
+/// A clock that no change of the time of day moves.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+/// Reading of a clock that has just been opened. Zero is kept for "never".
+const FIRST_MILLIS: u64 = 1_000;
+
+impl Clock {
+    /// Opens a clock.
+    pub fn open() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// The present time. Its origin is the start of the process.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(FIRST_MILLIS + self.start.elapsed().as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -0,0 +1,67 @@
+//! How an attempt to have a request run ended.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+use lavenderhatch_core::ErrorKind;
+use lavenderhatch_decide::relay::AttemptEnd;
+
+/// The answer of a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct BackendAnswer {
+    /// Status as the backend server gave it.
+    pub(crate) status: StatusCode,
+    /// Headers without those of the connection.
+    pub(crate) headers: HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+    /// Time for which the request held its slot.
+    pub(crate) service: Duration,
+}
+
+/// Why an attempt has no answer of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Failure {
+    /// What went wrong. Its outcome is "not run" only if the request certainly did not run.
+    pub(crate) kind: ErrorKind,
+    /// Whether a backend server has seen the request.
+    pub(crate) has_arrived: bool,
+    /// Time after which another attempt may succeed.
+    pub(crate) retry_after: Duration,
+    /// For the log.
+    pub(crate) reason: String,
+}
+
+impl Failure {
+    /// A request that no backend server has seen.
+    pub(crate) fn not_arrived(kind: ErrorKind, reason: impl Into<String>) -> Self {
+        Self {
+            kind,
+            has_arrived: false,
+            retry_after: Duration::ZERO,
+            reason: reason.into(),
+        }
+    }
+
+    /// A request that a backend server has seen. Whether it ran follows from `kind`.
+    pub(crate) fn arrived(kind: ErrorKind, reason: impl Into<String>) -> Self {
+        Self {
+            has_arrived: true,
+            ..Self::not_arrived(kind, reason)
+        }
+    }
+
+    /// What the decision on the next step needs.
+    pub(crate) fn end(&self) -> AttemptEnd {
+        match self.kind.is_not_run() {
+            true => AttemptEnd::NotRun {
+                has_arrived: self.has_arrived,
+            },
+            false => AttemptEnd::Unknown,
+        }
+    }
+}
+
+/// The end of an attempt.
+pub(crate) type Attempt = Result<BackendAnswer, Failure>;
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
@@ -0,0 +1,194 @@
+//! From a daemon to the backend server beside it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
+use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_decide::relay::{BackendReport, Refusal};
+
+use super::attempt::{Attempt, BackendAnswer, Failure};
+use super::call::Call;
+use super::hop_headers::remove_hop_headers;
+use crate::board::Board;
+use crate::clock::Clock;
+use crate::config::HeaderNames;
+use crate::gate::Gate;
+use crate::io::{ClientError, ClientPool, ClientTimeouts};
+
+/// Largest answer that is kept, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time for a connection to the backend server on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which an idle connection is used again. Backend servers close theirs after a
+/// few seconds, and a request that meets the close may have run.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Runs requests on the backend server beside this daemon.
+#[derive(Debug)]
+pub(crate) struct BackendLeg {
+    pub(crate) board: Board,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) clock: Clock,
+    addr: SocketAddr,
+    service: String,
+    headers: HeaderNames,
+    lapse: Duration,
+    pool: ClientPool,
+}
+
+impl BackendLeg {
+    pub(crate) fn new(
+        board: Board,
+        gate: Arc<Gate>,
+        clock: Clock,
+        cfg: &crate::config::RelayConfig,
+    ) -> Self {
+        Self {
+            board,
+            gate,
+            clock,
+            addr: cfg.backend_addr,
+            service: cfg.service.clone(),
+            headers: cfg.headers.clone(),
+            lapse: cfg.backend_lapse,
+            pool: ClientPool::new(ClientTimeouts {
+                connect: CONNECT_TIMEOUT,
+                idle: IDLE_LIMIT,
+            }),
+        }
+    }
+
+    /// Runs a request once it has a slot. Dropping the future cancels the request.
+    pub(crate) async fn run(&self, call: &Call) -> Attempt {
+        self.serving(call)?;
+        let permit = self.gate.enter(&call.demand).await.map_err(overloaded)?;
+        // The backend server may have begun to leave while the request waited.
+        let id = self.serving(call)?;
+        let now = self.clock.now();
+        if call.time_left(now).is_zero() {
+            let reason = "the deadline passed in the queue";
+            return Err(Failure::not_arrived(ErrorKind::DeadlineUnmeetable, reason));
+        }
+        let req = self.request(call, &id, now);
+        let (parts, body) = self
+            .pool
+            .exchange(self.addr, req, MAX_ANSWER_BYTES)
+            .await
+            .map_err(|err| self.failed(&err))?;
+        let service = permit.finish(call.demand.class);
+        self.check(call, parts, body, service)
+    }
+
+    /// Name of the header with the identity of a request.
+    pub(crate) fn request_id_name(&self) -> &HeaderName {
+        &self.headers.request_id
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// The identity of the backend server if it takes requests for the service of the call.
+    fn serving(&self, call: &Call) -> Result<String, Failure> {
+        if call.service != self.service {
+            let reason = format!("this backend server runs {}", self.service);
+            return Err(Failure::not_arrived(ErrorKind::NoBackend, reason));
+        }
+        let state = self.board.backend.load();
+        let serving = state.serving(self.lapse, self.clock.now());
+        serving.map(id_of).ok_or_else(|| {
+            let reason = "the backend server takes no requests";
+            Failure::not_arrived(ErrorKind::Leaving, reason)
+        })
+    }
+
+    fn request(&self, call: &Call, id: &str, now: Timestamp) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = call.method.clone();
+        *req.uri_mut() = call.target.clone();
+        let headers = req.headers_mut();
+        *headers = call.headers.clone();
+        let names = &self.headers;
+        headers.insert(names.caller_service.clone(), call.caller_service.clone());
+        let time_left = call.time_left(now).as_millis() as u64;
+        headers.insert(names.time_left.clone(), HeaderValue::from(time_left));
+        if let Ok(id) = HeaderValue::from_str(id) {
+            headers.insert(names.expected_backend.clone(), id);
+        }
+        req
+    }
+
+    fn failed(&self, err: &ClientError) -> Failure {
+        match err {
+            ClientError::Connect(_) | ClientError::NotSent => {
+                Failure::not_arrived(ErrorKind::NoBackend, err.to_string())
+            }
+            _ => Failure::arrived(ErrorKind::OutcomeUnknown, err.to_string()),
+        }
+    }
+
+    /// Checks that an answer is the backend server's whole answer to this request.
+    fn check(&self, call: &Call, mut parts: Parts, body: Bytes, service: Duration) -> Attempt {
+        let names = &self.headers;
+        let is_own = match parts.headers.get(&names.request_id) {
+            Some(id) => id == call.request_id,
+            // Answers that refuse a request unread have no identity.
+            None => !parts.status.is_success(),
+        };
+        if !is_own {
+            return Err(unusable("the answer belongs to another request"));
+        }
+        if parts.headers.contains_key(&names.not_run) {
+            let reason = format!("the backend server refused with {}", parts.status);
+            return Err(Failure::arrived(ErrorKind::Overloaded, reason));
+        }
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            let reason = "another backend server has this address";
+            return Err(Failure::arrived(ErrorKind::NoBackend, reason));
+        }
+        if parts.status.is_success() && !parts.headers.contains_key(&names.signature) {
+            return Err(unusable("the answer is not signed"));
+        }
+        if parts.headers.contains_key(CONTENT_ENCODING) {
+            return Err(unusable("the answer has an encoding nobody asked for"));
+        }
+        if promises_not_run(parts.status) {
+            return Err(unusable("the answer does not tell whether the request ran"));
+        }
+        remove_hop_headers(&mut parts.headers);
+        Ok(BackendAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            service,
+        })
+    }
+}
+
+fn id_of(report: &BackendReport) -> String {
+    report.id.clone()
+}
+
+fn overloaded(refusal: Refusal) -> Failure {
+    Failure {
+        retry_after: refusal.retry_after,
+        ..Failure::not_arrived(ErrorKind::Overloaded, "no slot is free in time")
+    }
+}
+
+fn unusable(reason: &str) -> Failure {
+    Failure::arrived(ErrorKind::OutcomeUnknown, reason)
+}
+
+/// Statuses that tell callers that a request did not run. A backend server that means it says so
+/// with a header as well.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -0,0 +1,208 @@
+//! The port for callers.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming as IncomingBody;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lavenderhatch_core::ErrorKind;
+use lavenderhatch_core::call::{ERROR_HEADER, OUTCOME_HEADER};
+use lavenderhatch_core::routing::CallerLimits;
+use tokio::net::TcpStream;
+use tokio::time::{interval, timeout};
+use tracing::debug;
+
+use super::attempt::Failure;
+use super::origin::{Incoming, Origin, OriginAnswer};
+use super::peer_port::Disconnected;
+use crate::io::{CallerStream, accept_loop, set_keepalive};
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Least size of the buffer for the head of a request.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct CallerPort {
+    origin: Origin,
+}
+
+impl CallerPort {
+    pub(crate) fn new(origin: Origin) -> Rc<Self> {
+        Rc::new(Self { origin })
+    }
+
+    /// Serves connections on this thread until the ports are closed.
+    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        let closed = self.origin.board.lifecycle.subscribe();
+        tokio::task::spawn_local(Rc::clone(&self).sweep());
+        accept_loop(listener, closed, move |stream| {
+            Rc::clone(&self).serve_stream(stream)
+        })
+        .await
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        let mut ticks = interval(SWEEP_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.origin.sweep();
+        }
+    }
+
+    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
+        if let Err(err) = set_keepalive(&stream) {
+            return debug!(error = %err, "caller: cannot set up a connection");
+        }
+        let stream = CallerStream::new(stream);
+        let port = Rc::clone(&self);
+        let of_service = stream.clone();
+        let service = service_fn(move |req| {
+            let port = Rc::clone(&port);
+            let gone = of_service.disconnect();
+            async move {
+                tokio::select! {
+                    biased;
+                    res = port.answer(req) => res,
+                    () = gone => Err(Disconnected),
+                }
+            }
+        });
+        let limits = self.limits();
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            // Covers the idle time between requests as well as the head of a request.
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let mut closed = self.origin.board.lifecycle.subscribe();
+        let mut conn = std::pin::pin!(conn);
+        let served = tokio::select! {
+            served = conn.as_mut() => served,
+            _ = closed.wait_for(|is_closed| *is_closed) => {
+                conn.as_mut().graceful_shutdown();
+                conn.await
+            }
+        };
+        if let Err(err) = served {
+            debug!(error = %err, "caller: connection failed");
+        }
+    }
+
+    fn limits(&self) -> CallerLimits {
+        let routing = self.origin.board.routing.load();
+        let table = routing.as_ref().as_ref();
+        table.map_or_else(CallerLimits::default, |table| table.limits)
+    }
+
+    async fn answer(
+        &self,
+        req: Request<IncomingBody>,
+    ) -> Result<Response<Full<Bytes>>, Disconnected> {
+        let Some(_guard) = self.origin.board.lifecycle.enter() else {
+            // The connection ends unread, so that the caller may send the request again.
+            return Err(Disconnected);
+        };
+        let answer = match self.read(req).await {
+            Ok(incoming) => self.origin.answer(incoming).await,
+            Err(failure) => Err(failure),
+        };
+        Ok(self.respond(answer))
+    }
+
+    async fn read(&self, req: Request<IncomingBody>) -> Result<Incoming, Failure> {
+        let arrived = self.origin.clock.now();
+        let (mut parts, body) = req.into_parts();
+        let has_both_lengths = parts.headers.contains_key(CONTENT_LENGTH)
+            && parts.headers.contains_key(TRANSFER_ENCODING);
+        if has_both_lengths {
+            return Err(bad_request("the request has two kinds of length"));
+        }
+        if let Some(authority) = parts.uri.authority() {
+            let host = HeaderValue::from_str(authority.as_str());
+            parts
+                .headers
+                .insert(HOST, host.map_err(|_| bad_request("bad authority"))?);
+        }
+        let target = parts.uri.path_and_query().map(|target| target.as_str());
+        let target = target.unwrap_or("/").parse();
+        let limits = self.limits();
+        let read = Limited::new(body, limits.max_body_bytes).collect();
+        let body = match timeout(limits.idle_timeout, read).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+                let reason = format!("the body has more than {} bytes", limits.max_body_bytes);
+                return Err(Failure::not_arrived(ErrorKind::TooLarge, reason));
+            }
+            Ok(Err(err)) => return Err(bad_request(&format!("the body cannot be read: {err}"))),
+            Err(_) => return Err(bad_request("the body did not arrive in time")),
+        };
+        Ok(Incoming {
+            method: parts.method,
+            target: target.map_err(|_| bad_request("the target cannot be read"))?,
+            headers: parts.headers,
+            body,
+            arrived,
+        })
+    }
+
+    fn respond(&self, answer: OriginAnswer) -> Response<Full<Bytes>> {
+        let mut res = match answer {
+            Ok(answer) => {
+                let mut res = Response::new(Full::new(answer.body));
+                *res.status_mut() = answer.status;
+                *res.headers_mut() = answer.headers;
+                res
+            }
+            Err(failure) => self.refuse(&failure),
+        };
+        if self.origin.board.lifecycle.is_leaving() {
+            let headers = res.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        res
+    }
+
+    fn refuse(&self, failure: &Failure) -> Response<Full<Bytes>> {
+        let table = failure.kind.answer();
+        let text = format!("{}: {}\n", failure.kind, failure.reason);
+        let mut res = Response::new(Full::new(Bytes::from(text)));
+        let status = StatusCode::from_u16(table.status);
+        *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = res.headers_mut();
+        headers.insert(
+            OUTCOME_HEADER,
+            HeaderValue::from_static(table.outcome.as_str()),
+        );
+        headers.insert(
+            ERROR_HEADER,
+            HeaderValue::from_static(failure.kind.as_str()),
+        );
+        let is_refusal = failure.kind.is_not_run() && table.retry.has_delay();
+        if is_refusal {
+            // Callers of this port accept fractions of a second.
+            let advice = format!("{:.3}", self.origin.advice(failure).as_secs_f64());
+            if let Ok(advice) = HeaderValue::from_str(&advice) {
+                headers.insert(RETRY_AFTER, advice);
+            }
+        }
+        if failure.kind == ErrorKind::BadRequest {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        res
+    }
+}
+
+fn bad_request(reason: &str) -> Failure {
+    Failure::not_arrived(ErrorKind::BadRequest, reason)
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -0,0 +1,333 @@
+//! Places a caller's request until it has an answer.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Uri};
+use lavenderhatch_core::routing::HostRoute;
+use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_decide::relay::{
+    AttemptEnd, Attempts, Candidate, Demand, NextStep, RetryBudget, ServiceTimes, next_step, place,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::timeout;
+use tracing::{debug, info};
+
+use super::attempt::{Attempt, BackendAnswer, Failure};
+use super::backend_leg::BackendLeg;
+use super::call::Call;
+use super::class_of;
+use super::hop_headers::remove_hop_headers;
+use super::peer_leg::PeerLeg;
+use crate::board::{Board, Endpoint};
+use crate::clock::Clock;
+use crate::config::RelayConfig;
+use crate::metrics::Metrics;
+
+/// Part of the shared retry ratio that daemons spend. The rest covers calls that repeated requests
+/// make, which count against the service that they call.
+const RATIO_SHARE: f64 = 0.5;
+/// Part of the shared retry allowance that daemons spend.
+const ALLOWANCE_SHARE: f64 = 0.5;
+/// Time for which a backend server that had no free slot is not asked again.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// Advised time when no backend server of a service takes requests.
+const NO_BACKEND_ADVICE: Duration = Duration::from_millis(300);
+
+/// A request as the caller port has read it.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Timestamp,
+}
+
+/// The answer to a caller's request.
+pub(crate) type OriginAnswer = Result<BackendAnswer, Failure>;
+
+/// Places requests of the callers of this daemon.
+#[derive(Debug)]
+pub(crate) struct Origin {
+    pub(crate) board: Board,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    cfg: RelayConfig,
+    caller_service: HeaderValue,
+    backend: BackendLeg,
+    peers: PeerLeg,
+    budget: RefCell<RetryBudget>,
+    /// Mean service times over all backend servers.
+    service: RefCell<ServiceTimes>,
+    random: RefCell<Pcg64Mcg>,
+}
+
+impl Origin {
+    pub(crate) fn new(backend: BackendLeg, cfg: &RelayConfig, metrics: Metrics) -> Self {
+        let caller_service = HeaderValue::from_str(&cfg.service);
+        let ratio = cfg.retry_ratio * RATIO_SHARE;
+        Self {
+            board: backend.board.clone(),
+            clock: backend.clock,
+            metrics,
+            caller_service: caller_service.unwrap_or_else(|_| HeaderValue::from_static("")),
+            peers: PeerLeg::new(backend.clock),
+            backend,
+            budget: RefCell::new(RetryBudget::new(ratio, 1.0)),
+            service: RefCell::default(),
+            random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+            cfg: cfg.clone(),
+        }
+    }
+
+    /// Answers a request. Dropping the future cancels it.
+    pub(crate) async fn answer(&self, incoming: Incoming) -> OriginAnswer {
+        let (route, call) = self.route(incoming)?;
+        self.budget.borrow_mut().deposit();
+        let limit = call.time_left(self.clock.now());
+        let mut attempts = Attempts::default();
+        let placed = self.attempt_all(&route, &call, &mut attempts);
+        let result = match timeout(limit, placed).await {
+            Ok(result) => result,
+            Err(_) => Err(expired(attempts)),
+        };
+        self.log(&route, &call, attempts, &result);
+        result
+    }
+
+    /// The advised time for a refused caller: spread, so that refused callers do not come back
+    /// together, and short enough to be of use before the caller's deadline.
+    pub(crate) fn advice(&self, failure: &Failure) -> Duration {
+        let base = failure.retry_after.max(Duration::from_millis(50));
+        base.mul_f64(0.5 + self.unit())
+    }
+
+    /// Closes connections that have been idle for too long, and shares the retry budget anew.
+    pub(crate) fn sweep(&self) {
+        self.backend.sweep();
+        self.peers.sweep();
+        let daemons = self.board.endpoints.load().daemons.max(1) as f64;
+        let allowance = self.cfg.retry_allowance * ALLOWANCE_SHARE / daemons;
+        self.budget.borrow_mut().set_capacity(allowance.max(1.0));
+    }
+
+    fn route(&self, incoming: Incoming) -> Result<(Arc<HostRoute>, Call), Failure> {
+        let routing = self.board.routing.load();
+        let Some(routing) = routing.as_ref() else {
+            let reason = "no routes are in force yet";
+            return Err(Failure::not_arrived(ErrorKind::NotReady, reason));
+        };
+        let host = incoming.headers.get(HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+        let found = routing.find(host, incoming.target.path()).cloned();
+        let Some(route) = found else {
+            let reason = format!("no route in version {}", routing.version);
+            return Err(Failure::not_arrived(ErrorKind::NoRoute, reason));
+        };
+        let call = self.call(incoming, &route);
+        Ok((route, call))
+    }
+
+    fn call(&self, incoming: Incoming, route: &HostRoute) -> Call {
+        let mut headers = incoming.headers;
+        let names = &self.cfg.headers;
+        let request_id = headers.get(&names.request_id).cloned();
+        let allowed: Option<u64> = headers
+            .get(&names.time_left)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let allowed = allowed.map_or(route.timeout, Duration::from_millis);
+        remove_hop_headers(&mut headers);
+        Call {
+            method: incoming.method,
+            target: incoming.target,
+            headers,
+            body: incoming.body,
+            request_id: request_id.unwrap_or_else(|| HeaderValue::from_static("")),
+            caller_service: self.caller_service.clone(),
+            service: route.service(self.random()).to_owned(),
+            demand: Demand {
+                class: class_of(&route.name),
+                priority: route.priority,
+                arrived: incoming.arrived,
+                target_at: incoming.arrived + route.target,
+                expires_at: incoming.arrived + allowed.min(route.timeout),
+            },
+        }
+    }
+
+    async fn attempt_all(
+        &self,
+        route: &HostRoute,
+        call: &Call,
+        attempts: &mut Attempts,
+    ) -> OriginAnswer {
+        let mut tried: Vec<Arc<Endpoint>> = Vec::new();
+        let mut last: Option<OriginAnswer> = None;
+        loop {
+            let Some(endpoint) = self.choose(call, &tried) else {
+                return last.unwrap_or_else(|| Err(no_backend(call)));
+            };
+            attempts.placed += 1;
+            let result = self.attempt(call, &endpoint).await;
+            tried.push(endpoint);
+            let (end, has_arrived) = end_of(&result);
+            attempts.arrived += u32::from(has_arrived);
+            let time_left = call.time_left(self.clock.now());
+            let step = next_step(
+                end,
+                *attempts,
+                route.is_idempotent,
+                route.max_attempts,
+                time_left,
+            );
+            debug!(id = call.id(), ?end, ?step, "origin: an attempt has ended");
+            match step {
+                NextStep::Finish => return result,
+                NextStep::Retry if !self.budget.borrow_mut().withdraw() => return result,
+                NextStep::Retry => self.metrics.retries.inc(),
+                NextStep::PlaceElsewhere => {}
+            }
+            last = Some(result);
+        }
+    }
+
+    async fn attempt(&self, call: &Call, endpoint: &Endpoint) -> Attempt {
+        let counted = Counted::begin(endpoint);
+        let result = match endpoint.is_local {
+            true => self.backend.run(call).await,
+            false => self.peers.run(call, endpoint).await,
+        };
+        drop(counted);
+        self.learn(call, endpoint, &result);
+        result
+    }
+
+    /// Takes in what an attempt tells about its backend server.
+    fn learn(&self, call: &Call, endpoint: &Endpoint, result: &Attempt) {
+        let now = self.clock.now();
+        match result {
+            Ok(answer) => {
+                let stats = &endpoint.stats;
+                stats.record_result(answer.status.is_server_error(), now);
+                let mut service = self.service.borrow_mut();
+                service.record(call.demand.class, answer.service);
+                stats.record_service(answer.service, service.of(call.demand.class));
+            }
+            Err(failure) if failure.has_arrived => endpoint.stats.record_result(true, now),
+            Err(failure) if failure.kind == ErrorKind::Overloaded => {
+                endpoint.stats.close(now + FULL_PAUSE);
+            }
+            Err(_) => endpoint.stats.close(now + FULL_PAUSE * 5),
+        }
+    }
+
+    fn choose(&self, call: &Call, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+        let now = self.clock.now();
+        let view = self.board.endpoints.load();
+        let endpoints = view.of(&call.service);
+        let candidate = |endpoint: &Arc<Endpoint>| {
+            let is_tried = tried.iter().any(|tried| Arc::ptr_eq(tried, endpoint));
+            let candidate = endpoint.candidate(&self.cfg.zone, now);
+            Candidate {
+                is_open: candidate.is_open && !is_tried,
+                ..candidate
+            }
+        };
+        let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
+        let at = place(&candidates, || self.random())?;
+        Some(Arc::clone(&endpoints[at]))
+    }
+
+    fn random(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+
+    fn unit(&self) -> f64 {
+        self.random() as f64 / u64::MAX as f64
+    }
+
+    fn log(&self, route: &HostRoute, call: &Call, attempts: Attempts, result: &OriginAnswer) {
+        let now = self.clock.now();
+        let took = now.since(call.demand.arrived);
+        match result {
+            Ok(answer) => {
+                self.metrics.answered(route.priority, took);
+                debug!(
+                    id = call.id(),
+                    status = answer.status.as_u16(),
+                    "origin: answered"
+                );
+            }
+            Err(failure) => {
+                self.metrics.failed(failure.kind);
+                info!(
+                    id = call.id(),
+                    route = route.name,
+                    service = call.service,
+                    version = self.version(),
+                    error = failure.kind.as_str(),
+                    reason = failure.reason,
+                    arrived = attempts.arrived,
+                    placed = attempts.placed,
+                    took_ms = took.as_millis() as u64,
+                    "origin: request failed"
+                );
+            }
+        }
+    }
+
+    fn version(&self) -> u64 {
+        let routing = self.board.routing.load();
+        routing.as_ref().as_ref().map_or(0, |table| table.version)
+    }
+}
+
+/// Counts a request at its backend server until dropped.
+struct Counted<'a>(&'a Endpoint);
+
+impl<'a> Counted<'a> {
+    fn begin(endpoint: &'a Endpoint) -> Self {
+        endpoint.stats.begin();
+        Self(endpoint)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.stats.end();
+    }
+}
+
+fn end_of(result: &Attempt) -> (AttemptEnd, bool) {
+    match result {
+        Ok(answer) => {
+            let is_server_error = answer.status.is_server_error();
+            (AttemptEnd::Answered { is_server_error }, true)
+        }
+        Err(failure) => (failure.end(), failure.has_arrived),
+    }
+}
+
+fn no_backend(call: &Call) -> Failure {
+    Failure {
+        retry_after: NO_BACKEND_ADVICE,
+        ..Failure::not_arrived(
+            ErrorKind::NoBackend,
+            format!("no backend server of {} takes requests", call.service),
+        )
+    }
+}
+
+/// The end of a request whose time is up while an attempt is in progress.
+fn expired(attempts: Attempts) -> Failure {
+    let reason = "the deadline or the route's timeout has passed";
+    match attempts.placed {
+        0 => Failure::not_arrived(ErrorKind::DeadlineUnmeetable, reason),
+        _ => Failure::arrived(ErrorKind::DeadlinePassed, reason),
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -0,0 +1,117 @@
+//! Headers by which daemons hand over requests and answers.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+use lavenderhatch_core::call::{ERROR_HEADER, RETRY_AFTER_HEADER};
+use lavenderhatch_core::{ErrorKind, Timestamp};
+use lavenderhatch_decide::relay::Demand;
+
+use super::attempt::Failure;
+use super::call::Call;
+
+const SERVICE: &str = "lavenderhatch-service";
+const CALLER: &str = "lavenderhatch-caller";
+const CLASS: &str = "lavenderhatch-class";
+const PRIORITY: &str = "lavenderhatch-priority";
+const TIME_LEFT: &str = "lavenderhatch-time-left-ms";
+const TARGET_LEFT: &str = "lavenderhatch-target-left-ms";
+/// Whether a backend server has seen a request that has no answer.
+const ARRIVED: &str = "lavenderhatch-arrived";
+/// Requests that run or wait at the backend server.
+const LOAD: &str = "lavenderhatch-load";
+/// Time for which the request held its slot, in microseconds.
+const SERVICE_TIME: &str = "lavenderhatch-service-us";
+
+/// What another daemon says of a request beside the request itself.
+#[derive(Debug)]
+pub(super) struct HandedOver {
+    pub(super) service: String,
+    pub(super) caller_service: HeaderValue,
+    pub(super) demand: Demand,
+}
+
+/// Adds what another daemon needs to run a request.
+pub(super) fn write_call(call: &Call, headers: &mut HeaderMap, now: Timestamp) {
+    insert(headers, SERVICE, &call.service);
+    headers.insert(CALLER, call.caller_service.clone());
+    insert(headers, CLASS, &call.demand.class.to_string());
+    insert(headers, PRIORITY, &call.demand.priority.to_string());
+    let time_left = call.time_left(now).as_millis().to_string();
+    insert(headers, TIME_LEFT, &time_left);
+    let target_left = call.demand.target_at.since(now).as_millis().to_string();
+    insert(headers, TARGET_LEFT, &target_left);
+}
+
+/// Reads what another daemon says of a request. `None` if a header is missing or unreadable.
+pub(super) fn read_call(headers: &HeaderMap, now: Timestamp) -> Option<HandedOver> {
+    let time_left = Duration::from_millis(read(headers, TIME_LEFT)?);
+    let target_left = Duration::from_millis(read(headers, TARGET_LEFT)?);
+    Some(HandedOver {
+        service: read(headers, SERVICE)?,
+        caller_service: headers.get(CALLER)?.clone(),
+        demand: Demand {
+            class: read(headers, CLASS)?,
+            priority: read(headers, PRIORITY)?,
+            arrived: now,
+            target_at: now + target_left,
+            expires_at: now + time_left,
+        },
+    })
+}
+
+/// Adds the load of the backend server to an answer.
+pub(super) fn write_load(headers: &mut HeaderMap, load: u32) {
+    insert(headers, LOAD, &load.to_string());
+}
+
+/// The load of the backend server, if the answer tells it.
+pub(super) fn read_load(headers: &HeaderMap) -> Option<u32> {
+    read(headers, LOAD)
+}
+
+/// Adds the service time to an answer.
+pub(super) fn write_service_time(headers: &mut HeaderMap, took: Duration) {
+    insert(headers, SERVICE_TIME, &took.as_micros().to_string());
+}
+
+/// The service time of an answer of a backend server. `None` if no backend server has answered.
+pub(super) fn read_service_time(headers: &HeaderMap) -> Option<Duration> {
+    read(headers, SERVICE_TIME).map(Duration::from_micros)
+}
+
+/// Adds a failure to an answer.
+pub(super) fn write_failure(headers: &mut HeaderMap, failure: &Failure) {
+    insert(headers, ERROR_HEADER, failure.kind.as_str());
+    insert(headers, ARRIVED, &u8::from(failure.has_arrived).to_string());
+    let retry_after = failure.retry_after.as_millis().to_string();
+    insert(headers, RETRY_AFTER_HEADER, &retry_after);
+}
+
+/// Reads a failure. An answer that cannot be read may belong to a request that ran.
+pub(super) fn read_failure(headers: &HeaderMap, reason: &[u8]) -> Failure {
+    let name: Option<String> = read(headers, ERROR_HEADER);
+    let kind = name.and_then(|name| {
+        let mut kinds = ErrorKind::ALL.iter();
+        kinds.find(|kind| kind.as_str() == name).copied()
+    });
+    Failure {
+        kind: kind.unwrap_or(ErrorKind::OutcomeUnknown),
+        has_arrived: read::<u8>(headers, ARRIVED) != Some(0),
+        retry_after: Duration::from_millis(read(headers, RETRY_AFTER_HEADER).unwrap_or(0)),
+        reason: String::from_utf8_lossy(reason).into_owned(),
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    // The values are numbers and checked names.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn read<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
@@ -0,0 +1,89 @@
+//! From the daemon of a caller to the daemon beside a backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use lavenderhatch_core::ErrorKind;
+
+use super::attempt::{Attempt, BackendAnswer, Failure};
+use super::call::Call;
+use super::hop_headers::remove_hop_headers;
+use super::peer_headers::{read_failure, read_load, read_service_time, write_call};
+use crate::board::Endpoint;
+use crate::clock::Clock;
+use crate::io::{ClientError, ClientPool, ClientTimeouts};
+
+/// Largest answer that is kept, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time for a connection to another daemon. Packets cross the zones of a region in a few
+/// milliseconds; a daemon behind a cut does not answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time for which an idle connection is used again.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Hands requests to other daemons.
+#[derive(Debug)]
+pub(crate) struct PeerLeg {
+    pool: ClientPool,
+    clock: Clock,
+}
+
+impl PeerLeg {
+    pub(crate) fn new(clock: Clock) -> Self {
+        let pool = ClientPool::new(ClientTimeouts {
+            connect: CONNECT_TIMEOUT,
+            idle: IDLE_LIMIT,
+        });
+        Self { pool, clock }
+    }
+
+    /// Hands over a request and reads its answer. Dropping the future cancels the request.
+    pub(crate) async fn run(&self, call: &Call, endpoint: &Endpoint) -> Attempt {
+        let req = self.request(call);
+        let answered = self.pool.exchange(endpoint.addr, req, MAX_ANSWER_BYTES);
+        let (mut parts, body) = match answered.await {
+            Ok(answer) => answer,
+            Err(err) => return Err(self.failed(&err, endpoint)),
+        };
+        if let Some(load) = read_load(&parts.headers) {
+            endpoint.stats.report(load, self.clock.now());
+        }
+        let Some(service) = read_service_time(&parts.headers) else {
+            return Err(read_failure(&parts.headers, &body));
+        };
+        remove_hop_headers(&mut parts.headers);
+        Ok(BackendAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            service,
+        })
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = call.method.clone();
+        *req.uri_mut() = call.target.clone();
+        *req.headers_mut() = call.headers.clone();
+        write_call(call, req.headers_mut(), self.clock.now());
+        req
+    }
+
+    fn failed(&self, err: &ClientError, endpoint: &Endpoint) -> Failure {
+        match err {
+            ClientError::Connect(_) => {
+                endpoint.stats.close_unreachable(self.clock.now());
+                Failure::not_arrived(ErrorKind::NoBackend, err.to_string())
+            }
+            ClientError::NotSent => Failure::not_arrived(ErrorKind::NoBackend, err.to_string()),
+            _ => Failure::arrived(ErrorKind::OutcomeUnknown, err.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -0,0 +1,164 @@
+//! The port at which other daemons hand over requests.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lavenderhatch_core::ErrorKind;
+use tokio::net::TcpStream;
+use tokio::time::{interval, timeout};
+use tracing::debug;
+
+use super::attempt::{Attempt, Failure};
+use super::backend_leg::BackendLeg;
+use super::call::Call;
+use super::hop_headers::remove_hop_headers;
+use super::peer_headers::{HandedOver, read_call, write_failure, write_load, write_service_time};
+use crate::io::{CallerStream, accept_loop, set_keepalive};
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs requests of other daemons on the backend server beside this one.
+#[derive(Debug)]
+pub(crate) struct PeerPort {
+    backend: BackendLeg,
+}
+
+impl PeerPort {
+    pub(crate) fn new(backend: BackendLeg) -> Rc<Self> {
+        Rc::new(Self { backend })
+    }
+
+    /// Serves connections on this thread until the ports are closed.
+    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        let closed = self.backend.board.lifecycle.subscribe();
+        tokio::task::spawn_local(Rc::clone(&self).sweep());
+        accept_loop(listener, closed, move |stream| {
+            Rc::clone(&self).serve_stream(stream)
+        })
+        .await
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        let mut ticks = interval(SWEEP_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.backend.sweep();
+        }
+    }
+
+    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
+        if let Err(err) = set_keepalive(&stream) {
+            return debug!(error = %err, "peer: cannot set up a connection");
+        }
+        let stream = CallerStream::new(stream);
+        let port = Rc::clone(&self);
+        let of_service = stream.clone();
+        let service = service_fn(move |req| {
+            let port = Rc::clone(&port);
+            let gone = of_service.disconnect();
+            async move {
+                tokio::select! {
+                    biased;
+                    res = port.answer(req) => res,
+                    () = gone => Err(Disconnected),
+                }
+            }
+        });
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let mut closed = self.backend.board.lifecycle.subscribe();
+        let mut conn = std::pin::pin!(conn);
+        let served = tokio::select! {
+            served = conn.as_mut() => served,
+            _ = closed.wait_for(|is_closed| *is_closed) => {
+                conn.as_mut().graceful_shutdown();
+                conn.await
+            }
+        };
+        if let Err(err) = served {
+            debug!(error = %err, "peer: connection failed");
+        }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Disconnected> {
+        let Some(_guard) = self.backend.board.lifecycle.enter() else {
+            let failure = Failure::not_arrived(ErrorKind::Leaving, "this daemon is leaving");
+            return Ok(self.respond(Err(failure)));
+        };
+        let now = self.backend.clock.now();
+        let Some(handed_over) = read_call(req.headers(), now) else {
+            let reason = "a header of the hand-over is missing";
+            let failure = Failure::not_arrived(ErrorKind::BadRequest, reason);
+            return Ok(self.respond(Err(failure)));
+        };
+        let limit = handed_over.demand.expires_at.since(now);
+        let call = self.read(req, handed_over).await?;
+        let attempt = match timeout(limit, self.backend.run(&call)).await {
+            Ok(attempt) => attempt,
+            Err(_) => Err(Failure::arrived(
+                ErrorKind::DeadlinePassed,
+                "the deadline passed at the backend server",
+            )),
+        };
+        Ok(self.respond(attempt))
+    }
+
+    async fn read(
+        &self,
+        req: Request<Incoming>,
+        handed_over: HandedOver,
+    ) -> Result<Call, Disconnected> {
+        let (parts, body) = req.into_parts();
+        let body = body.collect().await.map_err(|_| Disconnected)?.to_bytes();
+        let mut headers = parts.headers;
+        remove_hop_headers(&mut headers);
+        let request_id = headers.get(self.backend.request_id_name()).cloned();
+        Ok(Call {
+            method: parts.method,
+            target: parts.uri,
+            headers,
+            body,
+            request_id: request_id.unwrap_or_else(|| HeaderValue::from_static("")),
+            caller_service: handed_over.caller_service,
+            service: handed_over.service,
+            demand: handed_over.demand,
+        })
+    }
+
+    fn respond(&self, attempt: Attempt) -> Response<Full<Bytes>> {
+        let mut res = match attempt {
+            Ok(answer) => {
+                let mut res = Response::new(Full::new(answer.body));
+                *res.status_mut() = answer.status;
+                *res.headers_mut() = answer.headers;
+                write_service_time(res.headers_mut(), answer.service);
+                res
+            }
+            Err(failure) => {
+                let mut res = Response::new(Full::new(Bytes::from(failure.reason.clone())));
+                let status = StatusCode::from_u16(failure.kind.answer().status);
+                *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+                write_failure(res.headers_mut(), &failure);
+                res
+            }
+        };
+        write_load(res.headers_mut(), self.backend.gate.load());
+        res
+    }
+}
+
+/// The other daemon has closed the connection, so that nobody waits for the answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the other side has closed the connection")]
+pub(super) struct Disconnected;
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/gate.rs
@@ -0,0 +1,164 @@
+//! The slots of the backend server beside this daemon.
+
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_core::load::{Entry, PackedGate};
+use lavenderhatch_decide::relay::{Demand, GateQueue, Refusal, Ticket};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+
+/// A granted slot, or why there is none.
+type Verdict = Result<Permit, Refusal>;
+type Queue = GateQueue<oneshot::Sender<Verdict>>;
+
+/// Admits requests to the backend server beside this daemon.
+///
+/// While a slot is free and nobody waits, a request enters by one compare-and-swap. The lock of the
+/// queue is only taken by threads of the request path and is never held over a wait.
+pub struct Gate {
+    slots: PackedGate<AtomicU64>,
+    queue: Mutex<Queue>,
+    clock: Clock,
+}
+
+impl Gate {
+    /// A gate without slots.
+    pub fn open(clock: Clock) -> Arc<Self> {
+        let word = AtomicU64::new(PackedGate::<AtomicU64>::initial(0));
+        Arc::new(Self {
+            slots: PackedGate::new(word),
+            queue: Mutex::default(),
+            clock,
+        })
+    }
+
+    /// Waits for a slot. Dropping the future gives up the place in the queue.
+    pub async fn enter(self: &Arc<Self>, demand: &Demand) -> Verdict {
+        if self.slots.enter() == Entry::Entered {
+            return Ok(self.permit());
+        }
+        let now = self.clock.now();
+        let slots = u32::from(self.slots.state().limit);
+        let (tx, rx) = oneshot::channel();
+        let (offered, latest) = {
+            let mut queue = self.lock();
+            let latest = demand.latest_start(queue.service_time(demand.class));
+            (queue.offer(tx, *demand, slots, now), latest)
+        };
+        let ticket = offered.inspect_err(|_| self.slots.withdraw())?;
+        let place = Place { gate: self, ticket };
+        // A slot may have been freed between the look at the slots and the entry in the queue.
+        self.dispatch();
+        let verdict = timeout(latest.since(now), rx).await;
+        drop(place);
+        match verdict {
+            Ok(Ok(verdict)) => verdict,
+            _ => Err(self.lock().refusal(slots)),
+        }
+    }
+
+    /// Changes the number of slots.
+    pub fn set_slots(self: &Arc<Self>, slots: u32) {
+        self.slots
+            .set_limit(u16::try_from(slots).unwrap_or(u16::MAX));
+        self.dispatch();
+    }
+
+    /// Refuses all requests that wait, after the backend server has begun to leave.
+    pub fn refuse_waiting(&self) {
+        let waiting = self.lock().drain();
+        let refusal = Refusal {
+            retry_after: Duration::ZERO,
+        };
+        for tx in waiting {
+            self.slots.withdraw();
+            // A request whose receiver is gone needs no verdict.
+            let _ = tx.send(Err(refusal));
+        }
+    }
+
+    /// Requests that run or wait.
+    pub fn load(&self) -> u32 {
+        let state = self.slots.state();
+        u32::from(state.in_flight) + state.waiting
+    }
+
+    fn permit(self: &Arc<Self>) -> Permit {
+        Permit {
+            gate: Arc::clone(self),
+            since: self.clock.now(),
+        }
+    }
+
+    /// Gives free slots to requests that wait.
+    fn dispatch(self: &Arc<Self>) {
+        loop {
+            let next = {
+                let mut queue = self.lock();
+                if queue.is_empty() || !self.slots.grant() {
+                    return;
+                }
+                queue.pop(self.clock.now())
+            };
+            // The queue was not empty under the same lock, so there is a request.
+            let Some(tx) = next else { return };
+            // If the receiver is gone, the permit comes back and frees its slot.
+            let _ = tx.send(Ok(self.permit()));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for Gate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.slots.fmt(f)
+    }
+}
+
+/// A place in the queue, given up when dropped.
+struct Place<'a> {
+    gate: &'a Arc<Gate>,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let was_waiting = self.gate.lock().remove(self.ticket);
+        if was_waiting {
+            self.gate.slots.withdraw();
+        }
+    }
+}
+
+/// A slot, freed when dropped.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<Gate>,
+    since: Timestamp,
+}
+
+impl Permit {
+    /// Frees the slot of a request of `class` that has run to its end. Returns its service time.
+    pub fn finish(self, class: u64) -> Duration {
+        let took = self.gate.clock.now().since(self.since);
+        self.gate.lock().record(class, took);
+        took
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.gate.slots.leave() {
+            self.gate.dispatch();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/http_port.rs
@@ -0,0 +1,97 @@
+//! A small HTTP port for other purposes than callers' requests.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tracing::debug;
+
+use crate::io::{accept_loop, set_keepalive};
+
+/// Largest body that such a port takes, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Longest time for the head of a request to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct PortRequest {
+    /// Method, target and headers.
+    pub head: Parts,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// An answer with its whole body.
+pub type PortResponse = Response<Full<Bytes>>;
+
+/// Answers requests on this thread until `closed` becomes true.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    closed: watch::Receiver<bool>,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(PortRequest) -> F + 'static,
+    F: Future<Output = PortResponse> + 'static,
+{
+    let handler = Rc::new(handler);
+    accept_loop(listener, closed, move |stream| {
+        serve_stream(stream, Rc::clone(&handler))
+    })
+    .await
+}
+
+async fn serve_stream<H, F>(stream: TcpStream, handler: Rc<H>)
+where
+    H: Fn(PortRequest) -> F + 'static,
+    F: Future<Output = PortResponse> + 'static,
+{
+    if let Err(err) = set_keepalive(&stream) {
+        return debug!(error = %err, "port: cannot set up a connection");
+    }
+    let service = service_fn(move |req: Request<Incoming>| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(answer(req, &*handler).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(err) = served {
+        debug!(error = %err, "port: connection failed");
+    }
+}
+
+async fn answer<H, F>(req: Request<Incoming>, handler: &H) -> PortResponse
+where
+    H: Fn(PortRequest) -> F,
+    F: Future<Output = PortResponse>,
+{
+    let (head, body) = req.into_parts();
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => {
+            let body = body.to_bytes();
+            handler(PortRequest { head, body }).await
+        }
+        Err(err) => {
+            debug!(error = %err, "port: cannot read a body");
+            let mut res = Response::new(Full::default());
+            *res.status_mut() = StatusCode::BAD_REQUEST;
+            res
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/io/client_conn.rs
@@ -0,0 +1,118 @@
+//! One connection to another program.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::task::{JoinHandle, spawn_local};
+
+use super::client_error::ClientError;
+use super::connect::connect;
+
+/// A request with its whole body.
+pub(crate) type Exchange = Request<Full<Bytes>>;
+
+/// Part of the announced lifetime of an idle connection in which it is used again. The rest covers
+/// the way of a request to the other side.
+const KEEP_ALIVE_SHARE: f64 = 0.8;
+
+/// A connection to another program. Dropping it closes the connection, which cancels a request that
+/// is in progress there.
+#[derive(Debug)]
+pub struct ClientConn {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    /// Lifetime of the idle connection that the other side has announced.
+    announced_idle: Option<Duration>,
+}
+
+impl ClientConn {
+    /// Makes a connection.
+    pub async fn open(addr: SocketAddr, limit: Duration) -> Result<Self, ClientError> {
+        let stream = connect(addr, limit).await.map_err(ClientError::Connect)?;
+        let (sender, conn) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(ClientError::Exchange)?;
+        let task = spawn_local(async move {
+            // The error is reported to the request in progress as well.
+            let _ = conn.await;
+        });
+        Ok(Self {
+            sender,
+            task,
+            announced_idle: None,
+        })
+    }
+
+    /// Sends a request and reads the head of its answer. A request that was not sent comes back.
+    pub async fn send(
+        &mut self,
+        req: Exchange,
+    ) -> Result<Response<Incoming>, (ClientError, Option<Exchange>)> {
+        if self.sender.ready().await.is_err() {
+            return Err((ClientError::NotSent, Some(req)));
+        }
+        match self.sender.try_send_request(req).await {
+            Ok(res) => {
+                self.announced_idle = announced_idle(&res);
+                Ok(res)
+            }
+            Err(mut err) => match err.take_message() {
+                Some(req) => Err((ClientError::NotSent, Some(req))),
+                None => Err((ClientError::Exchange(err.into_error()), None)),
+            },
+        }
+    }
+
+    /// Reads the whole body of an answer.
+    pub async fn read(
+        res: Response<Incoming>,
+        limit: usize,
+    ) -> Result<(Parts, Bytes), ClientError> {
+        let (parts, mut body) = res.into_parts();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(ClientError::Exchange)?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            if buf.len() + data.len() > limit {
+                return Err(ClientError::TooLarge { limit });
+            }
+            buf.extend_from_slice(data);
+        }
+        Ok((parts, buf.freeze()))
+    }
+
+    /// Whether another request may be sent.
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Longest time for which the connection may be idle before it is used again.
+    pub(super) fn idle_limit(&self, limit: Duration) -> Duration {
+        self.announced_idle
+            .map_or(limit, |announced| limit.min(announced))
+    }
+}
+
+impl Drop for ClientConn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn announced_idle(res: &Response<Incoming>) -> Option<Duration> {
+    let value = res.headers().get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_SHARE))
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/io/client_error.rs
@@ -0,0 +1,31 @@
+//! Why an exchange over a client connection failed.
+
+/// Why an exchange over a client connection failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No connection could be made.
+    #[error("cannot connect: {0}")]
+    Connect(#[source] std::io::Error),
+    /// The connection ended before the request was sent.
+    #[error("the connection ended before the request was sent")]
+    NotSent,
+    /// The connection or the answer failed after the request was sent.
+    #[error("the exchange failed: {0}")]
+    Exchange(#[source] hyper::Error),
+    /// The answer is larger than this daemon keeps.
+    #[error("the answer is larger than {limit} bytes")]
+    TooLarge {
+        /// Most bytes that are kept.
+        limit: usize,
+    },
+    /// The answer took too long.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+impl ClientError {
+    /// Whether the other side has certainly not seen the request.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, ClientError::Connect(_) | ClientError::NotSent)
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -0,0 +1,110 @@
+//! Connections to other programs that are used again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::http::response::Parts;
+
+use super::client_conn::{ClientConn, Exchange};
+use super::client_error::ClientError;
+use super::connect::ClientTimeouts;
+
+/// Idle connections that are kept to one address.
+const MAX_IDLE: usize = 64;
+
+#[derive(Debug)]
+struct Idle {
+    conn: ClientConn,
+    since: Instant,
+}
+
+/// Connections of one thread to other programs.
+#[derive(Debug)]
+pub struct ClientPool {
+    timeouts: ClientTimeouts,
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl ClientPool {
+    /// An empty pool.
+    pub fn new(timeouts: ClientTimeouts) -> Self {
+        Self {
+            timeouts,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Sends a request and reads its whole answer of at most `limit` bytes. A kept connection that
+    /// has ended before the request was sent is replaced by a new one. Dropping the future closes
+    /// the connection.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        req: Exchange,
+        limit: usize,
+    ) -> Result<(Parts, Bytes), ClientError> {
+        let mut req = req;
+        while let Some(conn) = self.take(addr) {
+            match self.exchange_on(conn, addr, req, limit).await {
+                Err((err, Some(unsent))) if err.is_not_sent() => req = unsent,
+                result => return result.map_err(|(err, _)| err),
+            }
+        }
+        let conn = ClientConn::open(addr, self.timeouts.connect).await?;
+        let result = self.exchange_on(conn, addr, req, limit).await;
+        result.map_err(|(err, _)| err)
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|kept| self.is_usable(kept));
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    async fn exchange_on(
+        &self,
+        mut conn: ClientConn,
+        addr: SocketAddr,
+        req: Exchange,
+        limit: usize,
+    ) -> Result<(Parts, Bytes), (ClientError, Option<Exchange>)> {
+        let res = conn.send(req).await?;
+        let answer = ClientConn::read(res, limit)
+            .await
+            .map_err(|err| (err, None))?;
+        self.put(addr, conn);
+        Ok(answer)
+    }
+
+    fn take(&self, addr: SocketAddr) -> Option<ClientConn> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&addr)?;
+        // The connection that was used last is the least likely to have been closed.
+        while let Some(last) = kept.pop() {
+            if self.is_usable(&last) {
+                return Some(last.conn);
+            }
+        }
+        None
+    }
+
+    fn put(&self, addr: SocketAddr, conn: ClientConn) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(addr).or_default();
+        if conn.is_open() && kept.len() < MAX_IDLE {
+            let since = Instant::now();
+            kept.push(Idle { conn, since });
+        }
+    }
+
+    fn is_usable(&self, idle: &Idle) -> bool {
+        let limit = idle.conn.idle_limit(self.timeouts.idle);
+        idle.conn.is_open() && idle.since.elapsed() < limit
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/io/connect.rs
@@ -0,0 +1,27 @@
+//! New connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::listener::set_keepalive;
+
+/// How long connections are waited for and kept.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientTimeouts {
+    /// Longest time for a connection to be made.
+    pub connect: Duration,
+    /// Longest time for which an idle connection is used again.
+    pub idle: Duration,
+}
+
+pub(super) async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(addr))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    set_keepalive(&stream)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters and histograms of the path of a request.
+
+use std::time::Duration;
+
+use lavenderhatch_core::ErrorKind;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0,
+];
+
+/// Counters and histograms of the path of a request.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    latency: HistogramVec,
+    failures: IntCounterVec,
+    /// Requests that were sent once more to another backend server.
+    pub(crate) retries: IntCounter,
+}
+
+impl Metrics {
+    /// Opens the metrics with all counters at zero.
+    pub fn open() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let latency = HistogramVec::new(
+            HistogramOpts::new(
+                "lavenderhatch_answer_seconds",
+                "Time from the head of a request to the answer of its backend server",
+            )
+            .buckets(LATENCY_BOUNDS.to_vec()),
+            &["priority"],
+        )?;
+        let failures = IntCounterVec::new(
+            Opts::new(
+                "lavenderhatch_failures_total",
+                "Requests without an answer of a backend server, by error kind",
+            ),
+            &["error"],
+        )?;
+        let retries = IntCounter::new(
+            "lavenderhatch_retries_total",
+            "Requests that were sent once more to another backend server",
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(failures.clone()))?;
+        registry.register(Box::new(retries.clone()))?;
+        Ok(Self {
+            registry,
+            latency,
+            failures,
+            retries,
+        })
+    }
+
+    pub(crate) fn answered(&self, priority: u8, took: Duration) {
+        let priority = priority.to_string();
+        let latency = self.latency.with_label_values(&[&priority]);
+        latency.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn failed(&self, kind: ErrorKind) {
+        self.failures.with_label_values(&[kind.as_str()]).inc();
+    }
+
+    /// The page of metrics in the text format.
+    pub fn render(&self) -> prometheus::Result<String> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/relay.rs
@@ -0,0 +1,96 @@
+//! The running ports for callers and for other daemons.
+
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use eyre::{Result, WrapErr};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tracing::error;
+
+use crate::board::Board;
+use crate::clock::Clock;
+use crate::config::RelayConfig;
+use crate::exchange::{BackendLeg, CallerPort, Origin, PeerPort};
+use crate::gate::Gate;
+use crate::io::bind;
+use crate::metrics::Metrics;
+
+/// Stack of a thread that serves connections, in bytes.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// The running ports for callers and for other daemons. Their threads end with the process.
+#[derive(Debug)]
+pub struct Relay {
+    gate: Arc<Gate>,
+    clock: Clock,
+    metrics: Metrics,
+}
+
+impl Relay {
+    /// Binds the ports and starts a thread for each.
+    pub fn spawn(cfg: RelayConfig, board: Board) -> Result<Self> {
+        let clock = Clock::open();
+        let gate = Gate::open(clock);
+        let metrics = Metrics::open()?;
+        let callers = bind(cfg.caller_addr)
+            .wrap_err_with(|| format!("cannot listen on {}", cfg.caller_addr))?;
+        let peers =
+            bind(cfg.peer_addr).wrap_err_with(|| format!("cannot listen on {}", cfg.peer_addr))?;
+        let relay = Self {
+            gate: Arc::clone(&gate),
+            clock,
+            metrics: metrics.clone(),
+        };
+        let backend_leg = {
+            let cfg = cfg.clone();
+            move || BackendLeg::new(board.clone(), Arc::clone(&gate), clock, &cfg)
+        };
+        let for_callers = backend_leg.clone();
+        spawn_loop("callers", move || {
+            let origin = Origin::new(for_callers(), &cfg, metrics);
+            CallerPort::new(origin).serve(callers)
+        })?;
+        spawn_loop("peers", move || PeerPort::new(backend_leg()).serve(peers))?;
+        Ok(relay)
+    }
+
+    /// The slots of the backend server beside this daemon.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// The steady clock that deadlines refer to.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Counters of the path of a request.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+}
+
+/// Runs a future on a thread of its own, with an event loop that owns its connections.
+fn spawn_loop<F: Future<Output = io::Result<()>>>(
+    name: &'static str,
+    serve: impl FnOnce() -> F + Send + 'static,
+) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let run = move || {
+        let local = LocalSet::new();
+        let served = local.block_on(&runtime, async { serve().await });
+        if let Err(err) = served {
+            error!(port = name, error = %err, "relay: a port has failed");
+        }
+        // Connections that are open keep their tasks until these end.
+        runtime.block_on(local);
+    };
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(run)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the path of a request.
