Start pipelined idempotent requests before the ones ahead are answered

The connection is now passed to hyper one request at a time, and heads behind the request in progress are read ahead. Those of idempotent requests without a body start at once; answers keep their order. Requests that may run once wait, since a caller sends them again if the connection ends first.

Ruled out: slow backend servers (calm, slots free) and the choice of backend server (p50 of the other kinds was as expected).

--- a/crates/lavenderhatch-relay/src/exchange.rs
+++ b/crates/lavenderhatch-relay/src/exchange.rs
@@ -13,6 +13,7 @@
 mod peer_headers;
 mod peer_leg;
 mod peer_port;
+mod pipeline;
 
 pub(crate) use backend_leg::BackendLeg;
 pub(crate) use caller_port::CallerPort;
--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -10,6 +10,7 @@
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
 };
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -24,7 +25,8 @@
 use super::attempt::Failure;
 use super::origin::{Incoming, Origin, OriginAnswer};
 use super::peer_port::Disconnected;
-use crate::io::{CallerStream, accept_loop, set_keepalive};
+use super::pipeline::Pipeline;
+use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
 
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -67,15 +69,20 @@
         let stream = CallerStream::new(stream);
         let port = Rc::clone(&self);
         let of_service = stream.clone();
+        let pipeline = Rc::new(Pipeline::default());
         let service = service_fn(move |req| {
             let port = Rc::clone(&port);
-            let gone = of_service.disconnect();
+            let stream = of_service.clone();
+            let pipeline = Rc::clone(&pipeline);
             async move {
-                tokio::select! {
+                stream.set_busy(true);
+                let res = tokio::select! {
                     biased;
-                    res = port.answer(req) => res,
-                    () = gone => Err(Disconnected),
-                }
+                    res = port.answer(req, &pipeline) => res,
+                    () = port.look_ahead(&stream, &pipeline) => Err(Disconnected),
+                };
+                stream.set_busy(false);
+                res
             }
         });
         let limits = self.limits();
@@ -105,14 +112,52 @@
         table.map_or_else(CallerLimits::default, |table| table.limits)
     }
 
+    /// Starts idempotent requests that the caller sends without waiting for the answer. Completes
+    /// when the caller has closed the connection.
+    async fn look_ahead(self: &Rc<Self>, stream: &CallerStream, pipeline: &Pipeline) {
+        while let Ahead::Request(head) = stream.ahead().await {
+            if pipeline.has_room() {
+                self.start(head.req, pipeline);
+            }
+        }
+    }
+
+    /// Starts a request unless it may run only once: the caller sends it again if the connection
+    /// ends before its answer.
+    fn start(self: &Rc<Self>, req: Request<()>, pipeline: &Pipeline) {
+        let (parts, ()) = req.into_parts();
+        if !self.origin.is_idempotent(&parts.headers, &parts.uri) {
+            return;
+        }
+        let Some(guard) = self.origin.board.lifecycle.enter() else {
+            return;
+        };
+        let (target, headers) = (parts.uri.clone(), parts.headers.clone());
+        let port = Rc::clone(self);
+        let task = tokio::task::spawn_local(async move {
+            let answer = match port.incoming(parts, Bytes::new()) {
+                Ok(incoming) => port.origin.answer(incoming).await,
+                Err(failure) => Err(failure),
+            };
+            drop(guard);
+            answer
+        });
+        pipeline.push(target, headers, task);
+    }
+
     async fn answer(
         &self,
         req: Request<IncomingBody>,
+        pipeline: &Pipeline,
     ) -> Result<Response<Full<Bytes>>, Disconnected> {
         let Some(_guard) = self.origin.board.lifecycle.enter() else {
             // The connection ends unread, so that the caller may send the request again.
             return Err(Disconnected);
         };
+        if let Some(started) = pipeline.take(req.uri(), req.headers()) {
+            let answer = started.answer().await.ok_or(Disconnected)?;
+            return Ok(self.respond(answer));
+        }
         let answer = match self.read(req).await {
             Ok(incoming) => self.origin.answer(incoming).await,
             Err(failure) => Err(failure),
@@ -121,24 +166,11 @@
     }
 
     async fn read(&self, req: Request<IncomingBody>) -> Result<Incoming, Failure> {
-        let arrived = self.origin.clock.now();
-        let (mut parts, body) = req.into_parts();
-        let has_both_lengths = parts.headers.contains_key(CONTENT_LENGTH)
-            && parts.headers.contains_key(TRANSFER_ENCODING);
-        if has_both_lengths {
-            return Err(bad_request("the request has two kinds of length"));
-        }
-        if let Some(authority) = parts.uri.authority() {
-            let host = HeaderValue::from_str(authority.as_str());
-            parts
-                .headers
-                .insert(HOST, host.map_err(|_| bad_request("bad authority"))?);
-        }
-        let target = parts.uri.path_and_query().map(|target| target.as_str());
-        let target = target.unwrap_or("/").parse();
+        let (parts, body) = req.into_parts();
+        let mut incoming = self.incoming(parts, Bytes::new())?;
         let limits = self.limits();
         let read = Limited::new(body, limits.max_body_bytes).collect();
-        let body = match timeout(limits.idle_timeout, read).await {
+        incoming.body = match timeout(limits.idle_timeout, read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
                 let reason = format!("the body has more than {} bytes", limits.max_body_bytes);
@@ -147,12 +179,29 @@
             Ok(Err(err)) => return Err(bad_request(&format!("the body cannot be read: {err}"))),
             Err(_) => return Err(bad_request("the body did not arrive in time")),
         };
+        Ok(incoming)
+    }
+
+    fn incoming(&self, parts: Parts, body: Bytes) -> Result<Incoming, Failure> {
+        let mut headers = parts.headers;
+        if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+            return Err(bad_request("the request has two kinds of length"));
+        }
+        if let Some(authority) = parts.uri.authority() {
+            let host = HeaderValue::from_str(authority.as_str());
+            headers.insert(
+                HOST,
+                host.map_err(|_| bad_request("the host is unreadable"))?,
+            );
+        }
+        let target = parts.uri.path_and_query().map(|target| target.as_str());
+        let target = target.unwrap_or("/").parse();
         Ok(Incoming {
             method: parts.method,
-            target: target.map_err(|_| bad_request("the target cannot be read"))?,
-            headers: parts.headers,
+            target: target.map_err(|_| bad_request("the target is unreadable"))?,
+            headers,
             body,
-            arrived,
+            arrived: self.origin.clock.now(),
         })
     }
 
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -100,6 +100,14 @@
         result
     }
 
+    /// Whether a request with this head may run more than once.
+    pub(crate) fn is_idempotent(&self, headers: &HeaderMap, target: &Uri) -> bool {
+        let routing = self.board.routing.load();
+        let table = routing.as_ref().as_ref();
+        let route = table.and_then(|table| table.find(host_of(headers), target.path()));
+        route.is_some_and(|route| route.is_idempotent)
+    }
+
     /// The advised time for a refused caller: spread, so that refused callers do not come back
     /// together, and short enough to be of use before the caller's deadline.
     pub(crate) fn advice(&self, failure: &Failure) -> Duration {
@@ -122,8 +130,7 @@
             let reason = "no routes are in force yet";
             return Err(Failure::not_arrived(ErrorKind::NotReady, reason));
         };
-        let host = incoming.headers.get(HOST);
-        let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+        let host = host_of(&incoming.headers);
         let found = routing.find(host, incoming.target.path()).cloned();
         let Some(route) = found else {
             let reason = format!("no route in version {}", routing.version);
@@ -303,6 +310,11 @@
     }
 }
 
+fn host_of(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST);
+    host.and_then(|host| host.to_str().ok()).unwrap_or("")
+}
+
 fn end_of(result: &Attempt) -> (AttemptEnd, bool) {
     match result {
         Ok(answer) => {
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -22,7 +22,7 @@
 use super::call::Call;
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{HandedOver, read_call, write_failure, write_load, write_service_time};
-use crate::io::{CallerStream, accept_loop, set_keepalive};
+use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
 
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -65,13 +65,16 @@
         let of_service = stream.clone();
         let service = service_fn(move |req| {
             let port = Rc::clone(&port);
-            let gone = of_service.disconnect();
+            let stream = of_service.clone();
             async move {
-                tokio::select! {
+                stream.set_busy(true);
+                let res = tokio::select! {
                     biased;
                     res = port.answer(req) => res,
-                    () = gone => Err(Disconnected),
-                }
+                    () = closed(&stream) => Err(Disconnected),
+                };
+                stream.set_busy(false);
+                res
             }
         });
         let conn = http1::Builder::new()
@@ -158,6 +161,11 @@
     }
 }
 
+/// Completes when the other daemon has closed the connection. Daemons send one request at a time.
+async fn closed(stream: &CallerStream) {
+    while let Ahead::Request(_) = stream.ahead().await {}
+}
+
 /// The other daemon has closed the connection, so that nobody waits for the answer.
 #[derive(Debug, thiserror::Error)]
 #[error("the other side has closed the connection")]
--- a/crates/lavenderhatch-relay/src/io.rs
+++ b/crates/lavenderhatch-relay/src/io.rs
@@ -5,6 +5,7 @@
 mod client_error;
 mod client_pool;
 mod connect;
+mod framing;
 mod listener;
 
 pub use client_conn::ClientConn;
@@ -13,5 +14,5 @@
 pub use connect::ClientTimeouts;
 pub use listener::bind;
 
-pub(crate) use caller_stream::CallerStream;
+pub(crate) use caller_stream::{Ahead, CallerStream};
 pub(crate) use listener::{accept_loop, set_keepalive};
--- a/crates/lavenderhatch-relay/src/io/caller_stream.rs
+++ b/crates/lavenderhatch-relay/src/io/caller_stream.rs
@@ -1,7 +1,7 @@
-//! The connection of a caller, which tells when the caller goes away.
+//! The connection of a caller, read one request at a time.
 
 use std::cell::RefCell;
-use std::future::Future;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,42 +11,146 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::framing::{Head, Parsed, parse_head};
+
 /// Bytes that are read ahead of the request in progress.
-const READ_AHEAD_BYTES: usize = 16 * 1024;
+const READ_AHEAD_BYTES: usize = 32 * 1024;
+
+/// What the bytes at the front of the buffer belong to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Front {
+    /// The head of the next request.
+    Head,
+    /// A request that is being read, of which this many bytes are left.
+    Request(usize),
+    /// Bytes whose requests cannot be told apart here. They are passed on as they come.
+    Unframed,
+}
+
+/// What is seen behind the request in progress.
+#[derive(Debug)]
+pub(crate) enum Ahead {
+    /// Another request has arrived.
+    Request(Box<Head>),
+    /// The caller has closed the connection.
+    Closed,
+}
 
 #[derive(Debug)]
 struct Shared {
     stream: TcpStream,
-    /// Bytes that were read ahead.
+    /// Bytes that were read and not passed on.
     buf: BytesMut,
+    front: Front,
+    /// Bytes at the front of the buffer whose requests were reported as [`Ahead`].
+    reported: usize,
+    /// Whether a request is in progress. The next one is not passed on meanwhile.
+    is_busy: bool,
     is_closed: bool,
 }
 
 impl Shared {
-    /// Reads ahead until the buffer is full, the caller has closed or nothing has arrived.
-    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while !self.is_closed && self.buf.len() < READ_AHEAD_BYTES {
-            let mut chunk = [0u8; 2048];
-            let mut buf = ReadBuf::new(&mut chunk);
-            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
-                Ok(()) if buf.filled().is_empty() => self.is_closed = true,
-                Ok(()) => {
-                    self.buf.extend_from_slice(buf.filled());
-                    // The rest of a body may be among these bytes. Its reader is in the same task
-                    // and waits for the socket, which has nothing more to tell.
-                    cx.waker().wake_by_ref();
+    /// Reads more into the buffer. Gives the number of bytes, zero at the end of the connection or
+    /// if the buffer is full.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+        if self.is_closed || self.buf.len() >= READ_AHEAD_BYTES {
+            return Poll::Ready(0);
+        }
+        let mut chunk = [0u8; 4096];
+        let mut buf = ReadBuf::new(&mut chunk);
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+        self.is_closed = result.is_err() || buf.filled().is_empty();
+        self.buf.extend_from_slice(buf.filled());
+        Poll::Ready(buf.filled().len())
+    }
+
+    /// Finds out how many bytes at the front of the buffer may be passed on.
+    fn poll_front(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+        loop {
+            if self.front == Front::Request(0) {
+                self.front = Front::Head;
+            }
+            if self.front == Front::Head && self.is_busy {
+                return Poll::Pending;
+            }
+            if self.buf.is_empty() {
+                if ready!(self.poll_fill(cx)) == 0 {
+                    return Poll::Ready(0);
+                }
+                continue;
+            }
+            match self.front {
+                Front::Unframed => return Poll::Ready(self.buf.len()),
+                Front::Request(left) => return Poll::Ready(left.min(self.buf.len())),
+                Front::Head => self.front = ready!(self.poll_head(cx)),
+            }
+        }
+    }
+
+    /// Reads until a whole head is at the front of the buffer.
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<Front> {
+        loop {
+            match parse_head(&self.buf) {
+                Parsed::Head(head) => return Poll::Ready(front_of(&head)),
+                Parsed::Unreadable => return Poll::Ready(Front::Unframed),
+                Parsed::Partial => {}
+            }
+            if ready!(self.poll_fill(cx)) == 0 {
+                return Poll::Ready(Front::Unframed);
+            }
+        }
+    }
+
+    /// Looks behind the request in progress.
+    fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<Ahead> {
+        loop {
+            if self.is_closed {
+                return Poll::Ready(Ahead::Closed);
+            }
+            // Bytes of a request whose body is still read are not those of the next one.
+            let is_next_visible = matches!(self.front, Front::Head | Front::Request(0));
+            if is_next_visible && self.buf.len() > self.reported {
+                if let Parsed::Head(head) = parse_head(&self.buf[self.reported..]) {
+                    if head.has_no_body() {
+                        self.reported += head.head_bytes;
+                        return Poll::Ready(Ahead::Request(head));
+                    }
                 }
-                Err(_) => self.is_closed = true,
             }
+            let count = ready!(self.poll_fill(cx));
+            if count == 0 && !self.is_closed {
+                // The buffer is full. The connection is read again with the next request.
+                return Poll::Pending;
+            }
+            // The reader of a body is in the same task and waits for the socket, which has nothing
+            // more to tell.
+            cx.waker().wake_by_ref();
+        }
+    }
+
+    fn pass_on(&mut self, count: usize, buf: &mut ReadBuf<'_>) {
+        let count = count.min(buf.remaining());
+        buf.put_slice(&self.buf[..count]);
+        self.buf.advance(count);
+        self.reported = self.reported.saturating_sub(count);
+        if let Front::Request(left) = &mut self.front {
+            *left -= count;
         }
-        Poll::Ready(())
+    }
+}
+
+fn front_of(head: &Head) -> Front {
+    match head.body_bytes {
+        Some(body) => Front::Request(head.head_bytes + body),
+        None => Front::Unframed,
     }
 }
 
 /// The connection of a caller.
 ///
-/// While a request is in progress, bytes are read ahead of it, so that the end of the connection is
-/// seen behind requests that were sent without waiting for the answer.
+/// Requests are passed on one at a time. While one is in progress, the connection is read ahead, so
+/// that the end of the connection is seen behind requests that were sent without waiting for the
+/// answer, and these can be started early.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerStream(Rc<RefCell<Shared>>);
 
@@ -55,31 +159,21 @@
         Self(Rc::new(RefCell::new(Shared {
             stream,
             buf: BytesMut::new(),
+            front: Front::Head,
+            reported: 0,
+            is_busy: false,
             is_closed: false,
         })))
     }
 
-    /// Completes when the caller has closed the connection.
-    pub(crate) fn disconnect(&self) -> Disconnect {
-        Disconnect(self.clone())
+    /// Marks whether a request is in progress.
+    pub(crate) fn set_busy(&self, is_busy: bool) {
+        self.0.borrow_mut().is_busy = is_busy;
     }
-}
 
-/// Completes when the caller has closed the connection.
-#[derive(Debug)]
-pub(crate) struct Disconnect(CallerStream);
-
-impl Future for Disconnect {
-    type Output = ();
-
-    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        let mut shared = self.0.0.borrow_mut();
-        ready!(shared.poll_fill(cx));
-        match shared.is_closed {
-            true => Poll::Ready(()),
-            // The buffer is full. The connection is read again with the next request.
-            false => Poll::Pending,
-        }
+    /// Waits for what comes behind the request in progress.
+    pub(crate) async fn ahead(&self) -> Ahead {
+        poll_fn(|cx| self.0.borrow_mut().poll_ahead(cx)).await
     }
 }
 
@@ -90,16 +184,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut shared = self.0.borrow_mut();
-        if !shared.buf.is_empty() {
-            let count = shared.buf.len().min(buf.remaining());
-            buf.put_slice(&shared.buf[..count]);
-            shared.buf.advance(count);
-            return Poll::Ready(Ok(()));
-        }
-        if shared.is_closed {
-            return Poll::Ready(Ok(()));
-        }
-        Pin::new(&mut shared.stream).poll_read(cx, buf)
+        let count = ready!(shared.poll_front(cx));
+        shared.pass_on(count, buf);
+        Poll::Ready(Ok(()))
     }
 }
 
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/io/framing.rs
@@ -0,0 +1,82 @@
+//! Where the requests on a connection begin and end.
+
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::Error;
+use hyper::{Method, Request};
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// The head of a request at the beginning of some bytes.
+#[derive(Debug)]
+pub(crate) struct Head {
+    /// Method, target and headers.
+    pub(crate) req: Request<()>,
+    /// Length of the head in bytes.
+    pub(crate) head_bytes: usize,
+    /// Length of the body in bytes; `None` if only its end tells.
+    pub(crate) body_bytes: Option<usize>,
+}
+
+impl Head {
+    /// Whether an idempotent request may be started before the ones ahead of it are answered.
+    pub(crate) fn has_no_body(&self) -> bool {
+        let method = self.req.method();
+        (method == Method::GET || method == Method::HEAD) && self.body_bytes == Some(0)
+    }
+}
+
+/// What some bytes begin with.
+#[derive(Debug)]
+pub(crate) enum Parsed {
+    /// A whole head.
+    Head(Box<Head>),
+    /// A part of a head.
+    Partial,
+    /// Something else.
+    Unreadable,
+}
+
+/// Reads the head of a request.
+pub(crate) fn parse_head(buf: &[u8]) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    match parsed.parse(buf) {
+        Ok(httparse::Status::Complete(head_bytes)) => match to_head(&parsed, head_bytes) {
+            Some(head) => Parsed::Head(Box::new(head)),
+            None => Parsed::Unreadable,
+        },
+        Ok(httparse::Status::Partial) => Parsed::Partial,
+        Err(_) => Parsed::Unreadable,
+    }
+}
+
+fn to_head(parsed: &httparse::Request<'_, '_>, head_bytes: usize) -> Option<Head> {
+    let req = to_request(parsed).ok()?;
+    let headers = req.headers();
+    let mut lengths = headers.get_all("content-length").iter();
+    let body_bytes = match (headers.contains_key("transfer-encoding"), lengths.next()) {
+        (true, _) => None,
+        (false, None) => Some(0),
+        (false, Some(length)) => Some(length.to_str().ok()?.trim().parse().ok()?),
+    };
+    let is_ambiguous = lengths.next().is_some();
+    (!is_ambiguous).then_some(Head {
+        req,
+        head_bytes,
+        body_bytes,
+    })
+}
+
+fn to_request(parsed: &httparse::Request<'_, '_>) -> Result<Request<()>, Error> {
+    let mut req = Request::builder()
+        .method(parsed.method.unwrap_or(""))
+        .uri(parsed.path.unwrap_or(""))
+        .body(())?;
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes())?;
+        req.headers_mut()
+            .append(name, HeaderValue::from_bytes(header.value)?);
+    }
+    Ok(req)
+}
