Count the target of a request from its caller's first attempt

Cause: a caller that comes back after a refusal was treated as new, with its whole target ahead of it.

A deadline is counted from the first attempt, so the time since then is what the caller allows less than the longest time of its kind. The target follows from it; late requests only get slots that nobody else can use in time.

Also: a refusal no longer hides an earlier run (a request that had answered 500 was told 'not run'); an endpoint without a free slot is closed by rank and for as long as its queue takes, since 47428 place-order requests were handed over for 5863 slots; idle connections between daemons are kept for 3 s.

Ruled out: service times that grow with the requests in flight (measured: they do not), so the limit stays at the slots that the backend server announces.

--- a/crates/lavenderhatch-decide/src/relay/demand.rs
+++ b/crates/lavenderhatch-decide/src/relay/demand.rs
@@ -13,9 +13,10 @@
     pub priority: u8,
     /// When the request came to this daemon.
     pub arrived: Timestamp,
-    /// Until when an answer has its full worth.
+    /// Until when an answer has its full worth, counted from the caller's first attempt. May have
+    /// passed.
     pub target_at: Timestamp,
-    /// Invariant: not before `target_at` unless the caller's deadline is shorter than the target.
+    /// Until when an answer is of use.
     pub expires_at: Timestamp,
 }
 
--- a/crates/lavenderhatch-decide/src/relay/next_step.rs
+++ b/crates/lavenderhatch-decide/src/relay/next_step.rs
@@ -43,7 +43,7 @@
 }
 
 /// Most backend servers that are asked for a slot for one request.
-const MAX_PLACED: u32 = 4;
+const MAX_PLACED: u32 = 3;
 
 /// Decides what follows the end of an attempt. `attempts` counts the attempt that has ended.
 pub fn next_step(
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod orders;
 mod queue;
+mod relay;
 mod replay;
 mod retry;
 mod stops;
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/backend_state.rs
@@ -0,0 +1,97 @@
+//! Reports of backend servers that come late, twice or from an earlier incarnation.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_decide::relay::{BackendPhase, BackendReport, BackendState, Heard};
+use rstest::rstest;
+
+use BackendPhase::{Draining, Gone, Ready};
+
+const LAPSE: Duration = Duration::from_secs(6);
+const NOW: Timestamp = Timestamp(10_000);
+
+fn report(id: &str, born: u64, sequence: u64, phase: BackendPhase) -> BackendReport {
+    BackendReport {
+        id: id.to_owned(),
+        born,
+        sequence,
+        slots: 12,
+        phase,
+    }
+}
+
+fn heard(reports: &[BackendReport]) -> BackendState {
+    let mut state = BackendState::default();
+    for report in reports {
+        state.hear(report, NOW);
+    }
+    state
+}
+
+/// Guards against requests for a backend server whose departure was acknowledged, and against use
+/// of what an incarnation that has ended said.
+#[rstest]
+#[case::confirmed(report("a", 5, 3, Ready), Heard::Confirmed, true)]
+#[case::repeated(report("a", 5, 2, Ready), Heard::OutOfDate, true)]
+#[case::late(report("a", 5, 1, Ready), Heard::OutOfDate, true)]
+#[case::draining(report("a", 5, 3, Draining), Heard::Changed, false)]
+#[case::draining_with_an_old_position(report("a", 5, 2, Draining), Heard::Changed, false)]
+#[case::gone(report("a", 5, 2, Gone), Heard::Changed, false)]
+#[case::earlier_incarnation(report("b", 4, 9, Draining), Heard::OutOfDate, true)]
+#[case::restart_under_the_same_id(report("a", 6, 1, Ready), Heard::Changed, true)]
+#[case::another_backend_server(report("b", 7, 1, Ready), Heard::Changed, true)]
+fn a_report_changes_the_state(
+    #[case] next: BackendReport,
+    #[case] expected: Heard,
+    #[case] is_serving: bool,
+) {
+    let mut state = heard(&[report("a", 5, 2, Ready)]);
+    assert_eq!(state.hear(&next, NOW), expected);
+    assert_eq!(state.serving(LAPSE, NOW).is_some(), is_serving);
+}
+
+/// Guards against a late report that brings back a backend server which has begun to leave.
+#[rstest]
+#[case(report("a", 5, 1, Ready))]
+#[case(report("a", 5, 9, Ready))]
+fn a_departure_binds(#[case] late: BackendReport) {
+    let mut state = heard(&[report("a", 5, 2, Ready), report("a", 5, 3, Draining)]);
+    assert_eq!(state.hear(&late, NOW), Heard::OutOfDate);
+    assert!(state.serving(LAPSE, NOW).is_none());
+}
+
+/// Guards against requests for a backend server that has fallen silent.
+#[test]
+fn a_silent_backend_server_is_not_used() {
+    let state = heard(&[report("a", 5, 2, Ready)]);
+    assert!(state.serving(LAPSE, NOW + LAPSE).is_some());
+    let later = NOW + LAPSE + Duration::from_millis(1);
+    assert!(state.serving(LAPSE, later).is_none());
+}
+
+/// Guards against a daemon that forgets an acknowledged departure when it restarts.
+#[rstest]
+#[case::departed(Draining, false)]
+#[case::ready(Ready, true)]
+fn a_restarted_daemon_takes_over_what_was_recorded(
+    #[case] recorded: BackendPhase,
+    #[case] is_serving: bool,
+) {
+    let mut state = BackendState::default();
+    state.restore(&report("a", 5, 3, recorded));
+    assert!(
+        state.serving(LAPSE, NOW).is_none(),
+        "a record is no sign of life"
+    );
+    state.hear(&report("a", 5, 4, Ready), NOW);
+    assert_eq!(state.serving(LAPSE, NOW).is_some(), is_serving);
+}
+
+/// Guards against a record that replaces what a newer incarnation has said meanwhile.
+#[test]
+fn a_record_does_not_replace_a_newer_incarnation() {
+    let mut state = heard(&[report("a", 6, 1, Ready)]);
+    state.restore(&report("a", 5, 3, Gone));
+    assert!(state.serving(LAPSE, NOW).is_some());
+}
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/gate_queue.rs
@@ -0,0 +1,91 @@
+//! Which waiting request gets the next slot.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_decide::relay::{Demand, GateQueue};
+use rstest::rstest;
+
+const NOW: Timestamp = Timestamp(10_000);
+const SERVICE: Duration = Duration::from_millis(100);
+const SLOTS: u32 = 4;
+
+fn demand(priority: u8, target_ms: u64) -> Demand {
+    Demand {
+        class: u64::from(priority),
+        priority,
+        arrived: NOW,
+        target_at: NOW + Duration::from_millis(target_ms),
+        expires_at: NOW + Duration::from_millis(target_ms + 1000),
+    }
+}
+
+fn queue() -> GateQueue<&'static str> {
+    let mut queue = GateQueue::default();
+    for class in 0..3 {
+        queue.record(class, SERVICE);
+    }
+    queue
+}
+
+/// Guards against urgent requests behind less urgent ones, and on-time ones behind late ones.
+#[rstest]
+#[case::by_rank(demand(1, 500), demand(0, 900))]
+#[case::by_target(demand(0, 900), demand(0, 500))]
+#[case::late_last(demand(0, 50), demand(1, 500))]
+fn the_second_request_goes_first(#[case] first: Demand, #[case] second: Demand) {
+    let mut queue = queue();
+    // With many slots the wait is short, so that late requests are queued as well.
+    queue.offer("first", first, 10 * SLOTS, NOW).unwrap();
+    queue.offer("second", second, 10 * SLOTS, NOW).unwrap();
+    assert_eq!(queue.pop(NOW), Some("second"));
+    assert_eq!(queue.pop(NOW), Some("first"));
+    assert_eq!(queue.pop(NOW), None);
+}
+
+/// Guards against the starvation of a rank by a flood of a more urgent one.
+#[test]
+fn a_flood_of_urgent_requests_lets_others_through() {
+    let mut queue = queue();
+    queue.offer("least", demand(2, 5000), SLOTS, NOW).unwrap();
+    let popped = (0..20).map(|_| {
+        queue.offer("urgent", demand(0, 500), SLOTS, NOW).unwrap();
+        queue.pop(NOW).unwrap()
+    });
+    let popped: Vec<&str> = popped.collect();
+    assert_eq!(popped.iter().position(|item| *item == "least"), Some(7));
+}
+
+/// Guards against requests that wait although no slot can be free for them in time.
+#[test]
+fn a_request_is_refused_when_it_cannot_start_in_time() {
+    let mut queue = queue();
+    let mut accepted = 0;
+    while queue.offer("waits", demand(0, 500), SLOTS, NOW).is_ok() {
+        accepted += 1;
+    }
+    // 400 ms until the latest start are 16 service times over 4 slots.
+    assert!((14..=16).contains(&accepted), "{accepted}");
+    let refusal = queue
+        .offer("waits", demand(0, 500), SLOTS, NOW)
+        .unwrap_err();
+    assert!(refusal.retry_after >= Duration::from_millis(350));
+    // A more urgent rank would go ahead of these; the less urgent ones would not.
+    assert!(queue.offer("patient", demand(1, 900), SLOTS, NOW).is_ok());
+}
+
+/// Guards against places in the queue that are never given up.
+#[test]
+fn a_request_that_no_longer_waits_is_removed() {
+    let mut queue = queue();
+    let ticket = queue.offer("gone", demand(0, 500), SLOTS, NOW).unwrap();
+    assert!(queue.remove(ticket));
+    assert!(!queue.remove(ticket));
+    assert!(queue.is_empty());
+}
+
+/// Guards against requests that wait at a backend server without slots.
+#[test]
+fn nothing_waits_without_slots() {
+    assert!(queue().offer("waits", demand(0, 500), 0, NOW).is_err());
+}
--- a/crates/lavenderhatch-relay/src/board/endpoint.rs
+++ b/crates/lavenderhatch-relay/src/board/endpoint.rs
@@ -28,15 +28,15 @@
 }
 
 impl Endpoint {
-    /// What the choice of a backend server needs.
-    pub fn candidate(&self, zone: &str, now: Timestamp) -> Candidate {
+    /// What the choice of a backend server needs for a request of this rank.
+    pub fn candidate(&self, zone: &str, priority: u8, now: Timestamp) -> Candidate {
         Candidate {
             load: self.stats.load(now),
             slots: self.slots,
             slowness: self.stats.slowness(),
             failures: self.stats.failures(now),
             is_near: self.zone == zone,
-            is_open: self.stats.is_open(now),
+            is_open: self.stats.is_open(priority, now),
         }
     }
 }
--- a/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
@@ -16,6 +16,8 @@
 /// Slowness is kept within this factor of the mean, so that a few long requests do not shut out a
 /// backend server.
 const MAX_SLOWNESS: f64 = 8.0;
+/// Ranks that are told apart.
+const RANKS: usize = 8;
 /// First time for which a daemon is left alone that cannot be reached. Doubles with each failure.
 const UNREACHABLE_MS: u64 = 300;
 /// Longest time for which a daemon is left alone.
@@ -37,7 +39,8 @@
     /// Bits of an `f64`.
     failures: AtomicU64,
     failures_at: AtomicU64,
-    closed_until: AtomicU64,
+    /// By rank. Ranks beyond the last one share its entry.
+    closed_until: [AtomicU64; RANKS],
     /// Connections in a row that could not be made.
     unreachable: AtomicU32,
 }
@@ -51,7 +54,7 @@
             slowness: AtomicU64::new(1f64.to_bits()),
             failures: AtomicU64::new(0f64.to_bits()),
             failures_at: AtomicU64::new(0),
-            closed_until: AtomicU64::new(0),
+            closed_until: Default::default(),
             unreachable: AtomicU32::new(0),
         }
     }
@@ -119,7 +122,14 @@
 
     /// Leaves it alone until `until`.
     pub fn close(&self, until: Timestamp) {
-        self.closed_until.fetch_max(until.0, Relaxed);
+        self.close_for(0, until);
+    }
+
+    /// Sends it no requests of this rank and of less urgent ones until `until`.
+    pub fn close_for(&self, priority: u8, until: Timestamp) {
+        for closed_until in &self.closed_until[rank_of(priority)..] {
+            closed_until.fetch_max(until.0, Relaxed);
+        }
     }
 
     /// Leaves it alone for a growing time, after a connection could not be made.
@@ -129,8 +139,12 @@
         self.close(now + Duration::from_millis(wait));
     }
 
-    /// Whether it may be chosen.
-    pub fn is_open(&self, now: Timestamp) -> bool {
-        self.closed_until.load(Relaxed) <= now.0
+    /// Whether it may be chosen for a request of this rank.
+    pub fn is_open(&self, priority: u8, now: Timestamp) -> bool {
+        self.closed_until[rank_of(priority)].load(Relaxed) <= now.0
     }
 }
+
+fn rank_of(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -10,7 +10,8 @@
 use lavenderhatch_core::routing::HostRoute;
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{
-    AttemptEnd, Attempts, Candidate, Demand, NextStep, RetryBudget, ServiceTimes, next_step, place,
+    AttemptEnd, Attempts, Candidate, DeadlineSpans, Demand, NextStep, RetryBudget, ServiceTimes,
+    next_step, place,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -33,8 +34,12 @@
 const RATIO_SHARE: f64 = 0.5;
 /// Part of the shared retry allowance that daemons spend.
 const ALLOWANCE_SHARE: f64 = 0.5;
-/// Time for which a backend server that had no free slot is not asked again.
-const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest time for which a backend server that had no free slot is not asked again.
+const MIN_FULL_PAUSE: Duration = Duration::from_millis(10);
+/// Longest time for which a backend server that had no free slot is not asked again.
+const MAX_FULL_PAUSE: Duration = Duration::from_millis(60);
+/// Time for which a backend server that takes no requests is not asked again.
+const UNUSABLE_PAUSE: Duration = Duration::from_millis(100);
 /// Advised time when no backend server of a service takes requests.
 const NO_BACKEND_ADVICE: Duration = Duration::from_millis(300);
 
@@ -64,6 +69,7 @@
     budget: RefCell<RetryBudget>,
     /// Mean service times over all backend servers.
     service: RefCell<ServiceTimes>,
+    spans: RefCell<DeadlineSpans>,
     random: RefCell<Pcg64Mcg>,
 }
 
@@ -80,6 +86,7 @@
             backend,
             budget: RefCell::new(RetryBudget::new(ratio, 1.0)),
             service: RefCell::default(),
+            spans: RefCell::default(),
             random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             cfg: cfg.clone(),
         }
@@ -148,6 +155,8 @@
             .get(&names.time_left)
             .and_then(|value| value.to_str().ok()?.parse().ok());
         let allowed = allowed.map_or(route.timeout, Duration::from_millis);
+        let class = class_of(&route.name);
+        let elapsed = self.spans.borrow_mut().elapsed(class, allowed);
         remove_hop_headers(&mut headers);
         Call {
             method: incoming.method,
@@ -158,10 +167,10 @@
             caller_service: self.caller_service.clone(),
             service: route.service(self.random()).to_owned(),
             demand: Demand {
-                class: class_of(&route.name),
+                class,
                 priority: route.priority,
                 arrived: incoming.arrived,
-                target_at: incoming.arrived + route.target,
+                target_at: incoming.arrived + route.target.saturating_sub(elapsed),
                 expires_at: incoming.arrived + allowed.min(route.timeout),
             },
         }
@@ -175,14 +184,21 @@
     ) -> OriginAnswer {
         let mut tried: Vec<Arc<Endpoint>> = Vec::new();
         let mut last: Option<OriginAnswer> = None;
+        // The end of an attempt in which the request may have run. A later refusal must not hide it.
+        let mut ran: Option<OriginAnswer> = None;
         loop {
             let Some(endpoint) = self.choose(call, &tried) else {
-                return last.unwrap_or_else(|| Err(no_backend(call)));
+                return ran.or(last).unwrap_or_else(|| Err(no_backend(call)));
             };
             attempts.placed += 1;
             let result = self.attempt(call, &endpoint).await;
             tried.push(endpoint);
             let (end, has_arrived) = end_of(&result);
+            let is_refusal = matches!(end, AttemptEnd::NotRun { .. });
+            let result = match ran.take() {
+                Some(ran) if is_refusal => ran,
+                _ => result,
+            };
             attempts.arrived += u32::from(has_arrived);
             let time_left = call.time_left(self.clock.now());
             let step = next_step(
@@ -199,7 +215,10 @@
                 NextStep::Retry => self.metrics.retries.inc(),
                 NextStep::PlaceElsewhere => {}
             }
-            last = Some(result);
+            match may_have_run(&result) {
+                true => ran = Some(result),
+                false => last = Some(result),
+            }
         }
     }
 
@@ -227,9 +246,11 @@
             }
             Err(failure) if failure.has_arrived => endpoint.stats.record_result(true, now),
             Err(failure) if failure.kind == ErrorKind::Overloaded => {
-                endpoint.stats.close(now + FULL_PAUSE);
+                let pause = (failure.retry_after / 2).clamp(MIN_FULL_PAUSE, MAX_FULL_PAUSE);
+                let priority = call.demand.priority;
+                endpoint.stats.close_for(priority, now + pause);
             }
-            Err(_) => endpoint.stats.close(now + FULL_PAUSE * 5),
+            Err(_) => endpoint.stats.close(now + UNUSABLE_PAUSE),
         }
     }
 
@@ -239,7 +260,7 @@
         let endpoints = view.of(&call.service);
         let candidate = |endpoint: &Arc<Endpoint>| {
             let is_tried = tried.iter().any(|tried| Arc::ptr_eq(tried, endpoint));
-            let candidate = endpoint.candidate(&self.cfg.zone, now);
+            let candidate = endpoint.candidate(&self.cfg.zone, call.demand.priority, now);
             Candidate {
                 is_open: candidate.is_open && !is_tried,
                 ..candidate
@@ -325,6 +346,14 @@
     }
 }
 
+/// Whether a request with this result may have run.
+fn may_have_run(result: &OriginAnswer) -> bool {
+    result
+        .as_ref()
+        .err()
+        .is_none_or(|failure| !failure.kind.is_not_run())
+}
+
 fn no_backend(call: &Call) -> Failure {
     Failure {
         retry_after: NO_BACKEND_ADVICE,
--- a/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
@@ -21,7 +21,7 @@
 /// milliseconds; a daemon behind a cut does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which an idle connection is used again.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Hands requests to other daemons.
 #[derive(Debug)]
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -13,7 +13,7 @@
 use super::connect::ClientTimeouts;
 
 /// Idle connections that are kept to one address.
-const MAX_IDLE: usize = 64;
+const MAX_IDLE: usize = 16;
 
 #[derive(Debug)]
 struct Idle {
--- a/crates/lavenderhatch-relay/tests/testsuite/retries.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/retries.rs
@@ -65,3 +65,18 @@
     // Ratio 0.2 and an allowance of 20, shared by two daemons.
     assert!(repeats <= 40 + 10, "{repeats} repeats");
 }
+
+/// Guards against a refusal that says "not run" although an earlier attempt has run.
+#[test]
+fn a_refusal_does_not_hide_an_earlier_run() {
+    let refusal = "HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let failing = Backend::bind(|_| Reply::Signed(500, ""));
+    let refusing = Backend::bind(move |_| Reply::Raw(refusal));
+    let mesh = Mesh::spawn(&[&failing, &refusing], &[RouteSpec::SAFE]);
+    for at in 0..10 {
+        let mut caller = mesh.daemons[0].caller();
+        caller.get(&format!("/safe/{at}"));
+        let status = caller.read().unwrap().status;
+        assert_eq!(status == 500, failing.seen_count() > 0, "status {status}");
+    }
+}
