Keep slots free for short urgent requests beside long less urgent ones

A request that is at least three times as long as the more urgent ones leaves about the square root of their load free.

--- a/crates/lavenderhatch-core/src/load/packed_gate.rs
+++ b/crates/lavenderhatch-core/src/load/packed_gate.rs
@@ -111,6 +111,16 @@
         }
     }
 
+    /// Counts as waiting, although a slot may be free.
+    pub fn wait(&self) {
+        self.update(|state| {
+            Some(GateState {
+                waiting: state.waiting + 1,
+                ..state
+            })
+        });
+    }
+
     /// Gives a free slot to a request that waits. Returns whether a slot was free.
     pub fn grant(&self) -> bool {
         let before = self.update(|state| {
--- a/crates/lavenderhatch-decide/src/relay.rs
+++ b/crates/lavenderhatch-decide/src/relay.rs
@@ -13,6 +13,7 @@
 mod gate_queue;
 mod next_step;
 mod place;
+mod rank_loads;
 mod retry_budget;
 mod service_times;
 
--- a/crates/lavenderhatch-decide/src/relay/gate_queue.rs
+++ b/crates/lavenderhatch-decide/src/relay/gate_queue.rs
@@ -5,6 +5,7 @@
 use lavenderhatch_core::Timestamp;
 
 use super::demand::Demand;
+use super::rank_loads::RankLoads;
 use super::service_times::ServiceTimes;
 
 /// A request of a less urgent rank gets a slot after this many of more urgent ranks have gone ahead
@@ -36,12 +37,13 @@
 /// Load that it answers: arrivals above the capacity of the backend server. Requests that can still
 /// meet their target go first, the more urgent rank before the less urgent, then the earliest
 /// target. A request that is not expected to start in time is refused when it comes, so that it does
-/// not wait in vain and its caller can come back.
+/// not wait in vain and its caller can come back. Long requests leave some slots to short urgent ones.
 #[derive(Debug)]
 pub struct GateQueue<T> {
     waiting: Vec<Waiting<T>>,
     next_ticket: u64,
     service: ServiceTimes,
+    loads: RankLoads,
     /// Requests of more urgent ranks that went ahead while a less urgent one waited.
     passed_over: u32,
 }
@@ -52,6 +54,7 @@
             waiting: Vec::new(),
             next_ticket: 0,
             service: ServiceTimes::default(),
+            loads: RankLoads::default(),
             passed_over: 0,
         }
     }
@@ -81,16 +84,32 @@
         Ok(ticket)
     }
 
-    /// Takes the request that gets the next free slot.
-    pub fn pop(&mut self, now: Timestamp) -> Option<T> {
-        let at = self.next_position(now)?;
+    /// Position of the request that gets the next of `free` slots out of `slots`. `None` if the slots
+    /// that are free are kept for more urgent requests.
+    pub fn next(&self, free: u32, slots: u32, now: Timestamp) -> Option<usize> {
+        let may_start = |demand: &Demand| free > self.reserved(demand, slots, now);
+        if self.passed_over >= MAX_PASSED_OVER {
+            let least = self.waiting.iter().map(|w| w.demand.priority).max()?;
+            return self.best(now, |demand| demand.priority == least && may_start(demand));
+        }
+        self.best(now, may_start)
+    }
+
+    /// Takes the request at a position of [`Self::next`].
+    pub fn take(&mut self, at: usize) -> T {
         let priority = self.waiting[at].demand.priority;
         let is_passed = |other: &Waiting<T>| other.demand.priority > priority;
         self.passed_over = match self.waiting.iter().any(is_passed) {
             true => self.passed_over + 1,
             false => 0,
         };
-        Some(self.waiting.swap_remove(at).item)
+        self.waiting.swap_remove(at).item
+    }
+
+    /// Slots that a request leaves free for more urgent ones.
+    pub fn reserved(&self, demand: &Demand, slots: u32, now: Timestamp) -> u32 {
+        let service = self.service.of(demand.class);
+        self.loads.reserved(demand.priority, service, slots, now)
     }
 
     /// Removes a request that no longer waits. Returns whether it was there.
@@ -105,8 +124,9 @@
     }
 
     /// Takes in the time that a request held its slot.
-    pub fn record(&mut self, class: u64, took: Duration) {
+    pub fn record(&mut self, class: u64, priority: u8, took: Duration, now: Timestamp) {
         self.service.record(class, took);
+        self.loads.record(priority, took, now);
     }
 
     /// Mean service time of a kind of request.
@@ -142,14 +162,6 @@
         (work + self.service.overall()) / slots.max(1)
     }
 
-    fn next_position(&self, now: Timestamp) -> Option<usize> {
-        if self.passed_over >= MAX_PASSED_OVER {
-            let least = self.waiting.iter().map(|w| w.demand.priority).max()?;
-            return self.best(now, |demand| demand.priority == least);
-        }
-        self.best(now, |_| true)
-    }
-
     fn best(&self, now: Timestamp, is_eligible: impl Fn(&Demand) -> bool) -> Option<usize> {
         let key = |at: &usize| {
             let demand = &self.waiting[*at].demand;
--- /dev/null
+++ b/crates/lavenderhatch-decide/src/relay/rank_loads.rs
@@ -0,0 +1,87 @@
+//! Slots that each rank uses.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+
+/// Time in which what a request has used loses its weight, in milliseconds.
+const WINDOW_MS: f64 = 1000.0;
+/// Ranks that are told apart.
+const RANKS: usize = 8;
+/// A request is long if it holds its slot this many times as long as the more urgent ones.
+const LONG_FACTOR: f64 = 3.0;
+/// Least number of slots in use, on average, for which any are kept free.
+const MIN_LOAD: f64 = 0.2;
+/// Most of the slots that are kept free.
+const MAX_RESERVED_SHARE: f64 = 0.25;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RankLoad {
+    /// Slot time of the requests that have ended, decayed to `at`, in milliseconds.
+    slot_ms: f64,
+    /// Number of these requests, decayed to `at`.
+    requests: f64,
+    at: Timestamp,
+}
+
+impl RankLoad {
+    fn decayed(&self, now: Timestamp) -> RankLoad {
+        let age = now.since(self.at).as_millis() as f64;
+        let factor = (-age / WINDOW_MS).exp();
+        RankLoad {
+            slot_ms: self.slot_ms * factor,
+            requests: self.requests * factor,
+            at: now,
+        }
+    }
+}
+
+/// Slots that each rank uses, and how many are kept free for the more urgent ones.
+///
+/// Load that it answers: a flood of long requests of a less urgent rank beside short urgent ones,
+/// such as the calls that requests of another service make. If long requests take every slot, each
+/// short one waits for the end of a long one. Keeping about the square root of the urgent load free
+/// covers its usual variation: Halfin and Whitt, "Heavy-Traffic Limits for Queues with Many
+/// Exponential Servers", Operations Research 29(3), 1981.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RankLoads {
+    ranks: [RankLoad; RANKS],
+}
+
+impl RankLoads {
+    /// Takes in the time that a request held its slot.
+    pub(super) fn record(&mut self, priority: u8, took: Duration, now: Timestamp) {
+        let load = &mut self.ranks[rank_of(priority)];
+        *load = load.decayed(now);
+        load.slot_ms += took.as_secs_f64() * 1000.0;
+        load.requests += 1.0;
+    }
+
+    /// Slots that a request must leave free, if it holds its slot for `service`.
+    pub(super) fn reserved(
+        &self,
+        priority: u8,
+        service: Duration,
+        slots: u32,
+        now: Timestamp,
+    ) -> u32 {
+        let mut slot_ms = 0.0;
+        let mut requests = 0.0;
+        for load in &self.ranks[..rank_of(priority)] {
+            let load = load.decayed(now);
+            slot_ms += load.slot_ms;
+            requests += load.requests;
+        }
+        let in_use = slot_ms / WINDOW_MS;
+        let service_ms = service.as_secs_f64() * 1000.0;
+        if in_use < MIN_LOAD || service_ms * requests < LONG_FACTOR * slot_ms {
+            return 0;
+        }
+        let most = f64::from(slots) * MAX_RESERVED_SHARE;
+        in_use.sqrt().ceil().min(most) as u32
+    }
+}
+
+fn rank_of(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/crates/lavenderhatch-decide/tests/testsuite/relay.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay.rs
@@ -2,6 +2,7 @@
 
 mod backend_state;
 mod gate_queue;
+mod long_requests;
 mod next_step;
 mod overload;
 mod place;
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/gate_queue.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/gate_queue.rs
@@ -20,10 +20,15 @@
     }
 }
 
+fn pop(queue: &mut GateQueue<&'static str>) -> Option<&'static str> {
+    let at = queue.next(1, SLOTS, NOW)?;
+    Some(queue.take(at))
+}
+
 fn queue() -> GateQueue<&'static str> {
     let mut queue = GateQueue::default();
     for class in 0..3 {
-        queue.record(class, SERVICE);
+        queue.record(class, 0, SERVICE, NOW);
     }
     queue
 }
@@ -38,9 +43,9 @@
     // With many slots the wait is short, so that late requests are queued as well.
     queue.offer("first", first, 10 * SLOTS, NOW).unwrap();
     queue.offer("second", second, 10 * SLOTS, NOW).unwrap();
-    assert_eq!(queue.pop(NOW), Some("second"));
-    assert_eq!(queue.pop(NOW), Some("first"));
-    assert_eq!(queue.pop(NOW), None);
+    assert_eq!(pop(&mut queue), Some("second"));
+    assert_eq!(pop(&mut queue), Some("first"));
+    assert_eq!(pop(&mut queue), None);
 }
 
 /// Guards against the starvation of a rank by a flood of a more urgent one.
@@ -50,7 +55,7 @@
     queue.offer("least", demand(2, 5000), SLOTS, NOW).unwrap();
     let popped = (0..20).map(|_| {
         queue.offer("urgent", demand(0, 500), SLOTS, NOW).unwrap();
-        queue.pop(NOW).unwrap()
+        pop(&mut queue).unwrap()
     });
     let popped: Vec<&str> = popped.collect();
     assert_eq!(popped.iter().position(|item| *item == "least"), Some(7));
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/long_requests.rs
@@ -0,0 +1,131 @@
+//! Replays a flood of long requests beside short ones of a more urgent rank.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_decide::relay::{Demand, GateQueue};
+
+const SLOTS: u32 = 12;
+const LENGTH_MS: u64 = 20_000;
+/// Time for the loads of the ranks to become known.
+const WARM_UP_MS: u64 = 2_000;
+const SHORT: Kind = Kind {
+    priority: 1,
+    service_ms: 50,
+    target_ms: 150,
+    per_s: 100,
+};
+const LONG: Kind = Kind {
+    priority: 2,
+    service_ms: 400,
+    target_ms: 2500,
+    per_s: 60,
+};
+
+#[derive(Clone, Copy)]
+struct Kind {
+    priority: u8,
+    service_ms: u64,
+    target_ms: u64,
+    per_s: u64,
+}
+
+#[derive(Default)]
+struct Tally {
+    asked: u32,
+    on_time: u32,
+}
+
+#[derive(Default)]
+struct Gate {
+    queue: GateQueue<(Kind, u64)>,
+    running: BTreeMap<u64, Vec<(Kind, u64)>>,
+    in_use: u32,
+    tallies: BTreeMap<u8, Tally>,
+}
+
+impl Gate {
+    fn arrive(&mut self, kind: Kind, now: u64) {
+        self.tallies.entry(kind.priority).or_default().asked += 1;
+        let at = Timestamp(now);
+        let demand = Demand {
+            class: u64::from(kind.priority),
+            priority: kind.priority,
+            arrived: at,
+            target_at: at + Duration::from_millis(kind.target_ms),
+            expires_at: at + Duration::from_millis(kind.target_ms * 2),
+        };
+        let reserved = self.queue.reserved(&demand, SLOTS, at);
+        if self.queue.is_empty() && self.in_use + reserved < SLOTS {
+            return self.start(kind, now, now);
+        }
+        // A refused request is not served.
+        let _ = self.queue.offer((kind, now), demand, SLOTS, at);
+    }
+
+    fn start(&mut self, kind: Kind, arrived: u64, now: u64) {
+        self.in_use += 1;
+        let end = now + kind.service_ms;
+        self.running.entry(end).or_default().push((kind, arrived));
+    }
+
+    fn step(&mut self, now: u64) {
+        for (kind, arrived) in self.running.remove(&now).unwrap_or_default() {
+            self.in_use -= 1;
+            let is_on_time = now - arrived <= kind.target_ms;
+            let tally = self.tallies.entry(kind.priority).or_default();
+            tally.on_time += u32::from(is_on_time);
+            let class = u64::from(kind.priority);
+            let took = Duration::from_millis(kind.service_ms);
+            self.queue
+                .record(class, kind.priority, took, Timestamp(now));
+        }
+        while self.in_use < SLOTS {
+            let free = SLOTS - self.in_use;
+            let Some(at) = self.queue.next(free, SLOTS, Timestamp(now)) else {
+                return;
+            };
+            let (kind, arrived) = self.queue.take(at);
+            self.start(kind, arrived, now);
+        }
+    }
+}
+
+/// Guards against short urgent requests that wait for the end of a long one, and against slots that
+/// are kept free for nothing.
+#[test]
+fn long_requests_leave_slots_to_short_urgent_ones() {
+    let mut gate = Gate::default();
+    // A linear congruential generator makes the arrivals irregular.
+    let mut random: u64 = 7;
+    for now in 1..LENGTH_MS + WARM_UP_MS {
+        if now == WARM_UP_MS {
+            gate.tallies.clear();
+        }
+        gate.step(now);
+        for kind in [SHORT, LONG] {
+            random = random
+                .wrapping_mul(6364136223846793005)
+                .wrapping_add(1442695040888963407);
+            if (random >> 33) % 1000 < kind.per_s {
+                gate.arrive(kind, now);
+            }
+        }
+    }
+    let short = &gate.tallies[&SHORT.priority];
+    let long = &gate.tallies[&LONG.priority];
+    assert!(
+        short.on_time * 100 >= short.asked * 98,
+        "{} of {}",
+        short.on_time,
+        short.asked
+    );
+    // The short ones use 5 of 12 slots. The long ones get most of the other 7.
+    let room = 7 * LENGTH_MS / LONG.service_ms;
+    assert!(
+        u64::from(long.on_time) * 100 >= room * 65,
+        "{} of {room}",
+        long.on_time
+    );
+}
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/overload.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/overload.rs
@@ -77,12 +77,15 @@
             self.in_use -= 1;
             self.served += 1;
             self.on_time += u32::from(now - ended.first_sent <= TARGET_MS);
-            self.queue.record(0, Duration::from_millis(SERVICE_MS));
+            let took = Duration::from_millis(SERVICE_MS);
+            self.queue.record(0, 0, took, Timestamp(now));
         }
         while self.in_use < SLOTS {
-            let Some(next) = self.queue.pop(Timestamp(now)) else {
+            let free = SLOTS - self.in_use;
+            let Some(at) = self.queue.next(free, SLOTS, Timestamp(now)) else {
                 return;
             };
+            let next = self.queue.take(at);
             self.start(next, now);
         }
     }
--- a/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
@@ -81,7 +81,7 @@
             .exchange(self.addr, req, MAX_ANSWER_BYTES)
             .await
             .map_err(|err| self.failed(&err))?;
-        let service = permit.finish(call.demand.class);
+        let service = permit.finish(&call.demand);
         self.check(call, parts, body, service)
     }
 
--- a/crates/lavenderhatch-relay/src/gate.rs
+++ b/crates/lavenderhatch-relay/src/gate.rs
@@ -40,10 +40,10 @@
 
     /// Waits for a slot. Dropping the future gives up the place in the queue.
     pub async fn enter(self: &Arc<Self>, demand: &Demand) -> Verdict {
-        if self.slots.enter() == Entry::Entered {
+        let now = self.clock.now();
+        if self.enter_at_once(demand, now) {
             return Ok(self.permit());
         }
-        let now = self.clock.now();
         let slots = u32::from(self.slots.state().limit);
         let (tx, rx) = oneshot::channel();
         let (offered, latest) = {
@@ -89,6 +89,22 @@
         u32::from(state.in_flight) + state.waiting
     }
 
+    /// Enters if a slot is free that is not kept for more urgent requests, else counts as waiting.
+    fn enter_at_once(&self, demand: &Demand, now: Timestamp) -> bool {
+        let state = self.slots.state();
+        let slots = u32::from(state.limit);
+        // Nothing is kept free from the most urgent rank.
+        let reserved = match demand.priority {
+            0 => 0,
+            _ => self.lock().reserved(demand, slots, now),
+        };
+        if u32::from(state.in_flight) + reserved >= slots {
+            self.slots.wait();
+            return false;
+        }
+        self.slots.enter() == Entry::Entered
+    }
+
     fn permit(self: &Arc<Self>) -> Permit {
         Permit {
             gate: Arc::clone(self),
@@ -99,15 +115,22 @@
     /// Gives free slots to requests that wait.
     fn dispatch(self: &Arc<Self>) {
         loop {
-            let next = {
+            let tx = {
                 let mut queue = self.lock();
-                if queue.is_empty() || !self.slots.grant() {
+                let state = self.slots.state();
+                let slots = u32::from(state.limit);
+                let free = slots.saturating_sub(u32::from(state.in_flight));
+                if free == 0 {
+                    return;
+                }
+                let Some(at) = queue.next(free, slots, self.clock.now()) else {
+                    return;
+                };
+                if !self.slots.grant() {
                     return;
                 }
-                queue.pop(self.clock.now())
+                queue.take(at)
             };
-            // The queue was not empty under the same lock, so there is a request.
-            let Some(tx) = next else { return };
             // If the receiver is gone, the permit comes back and frees its slot.
             let _ = tx.send(Ok(self.permit()));
         }
@@ -147,10 +170,12 @@
 }
 
 impl Permit {
-    /// Frees the slot of a request of `class` that has run to its end. Returns its service time.
-    pub fn finish(self, class: u64) -> Duration {
-        let took = self.gate.clock.now().since(self.since);
-        self.gate.lock().record(class, took);
+    /// Frees the slot of a request that has run to its end. Returns its service time.
+    pub fn finish(self, demand: &Demand) -> Duration {
+        let now = self.gate.clock.now();
+        let took = now.since(self.since);
+        let mut queue = self.gate.lock();
+        queue.record(demand.class, demand.priority, took, now);
         took
     }
 }
