--- a/crates/lavenderhatch-decide/src/relay/place.rs
+++ b/crates/lavenderhatch-decide/src/relay/place.rs
@@ -12,6 +12,14 @@
 /// Least share of successes that is distinguished.
 const MIN_SUCCESS: f64 = 0.05;
 
+/// Share of failures up to which a backend server in the own zone is preferred.
+const MAX_PREFERRED_FAILURES: f64 = 0.1;
+/// Part of the slots in use up to which a backend server in the own zone is preferred.
+const NEAR_LEVEL: f64 = 0.75;
+/// Part of the target within which a backend server in the own zone must be expected to answer to be
+/// preferred.
+const NEAR_TARGET_SHARE: f64 = 0.5;
+
 /// What is known of a backend server that may take a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -30,6 +38,15 @@
 }
 
 impl Candidate {
+    /// Whether it is in the own zone and has time to spare, so that no bytes need to cross zones.
+    /// `service_share` is the mean service time over the time to the target.
+    fn is_preferred(&self, service_share: f64) -> bool {
+        let used = f64::from(self.load + 1) / f64::from(self.slots.max(1));
+        let is_sound = self.failures < MAX_PREFERRED_FAILURES;
+        let is_fast = service_share * self.slowness <= NEAR_TARGET_SHARE;
+        self.is_open && self.is_near && used <= NEAR_LEVEL && is_sound && is_fast
+    }
+
     /// Expected time to an answer, in mean service times, weighed by failures and distance.
     fn cost(&self) -> f64 {
         let used = f64::from(self.load + 1) / f64::from(self.slots.max(1));
@@ -41,11 +58,22 @@
     }
 }
 
-/// The open candidate of the least cost. `random` gives uniformly distributed numbers.
-pub fn place(candidates: &[Candidate], mut random: impl FnMut() -> u64) -> Option<usize> {
+/// The open candidate of the least cost, among those of the own zone as long as one of them has time
+/// to spare. `service_share` is the mean service time of the request over its time to the target;
+/// `random` gives uniformly distributed numbers.
+pub fn place(
+    candidates: &[Candidate],
+    service_share: f64,
+    mut random: impl FnMut() -> u64,
+) -> Option<usize> {
+    let has_near = candidates.iter().any(|c| c.is_preferred(service_share));
     let mut best: Option<(usize, f64)> = None;
     for (at, candidate) in candidates.iter().enumerate() {
-        if !candidate.is_open {
+        let is_eligible = match has_near {
+            true => candidate.is_preferred(service_share),
+            false => candidate.is_open,
+        };
+        if !is_eligible {
             continue;
         }
         let unit = random() as f64 / u64::MAX as f64;
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/place.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/place.rs
@@ -12,6 +12,31 @@
     is_open: true,
 };
 
+/// Service time over the time to the target of a request that has no time to spare.
+const TIGHT: f64 = 0.9;
+/// That of a request that has.
+const RELAXED: f64 = 0.2;
+
+/// Guards against bytes that cross zones without need, and against a zone that keeps requests which
+/// another one would answer in time.
+#[rstest]
+#[case::slower(Candidate { slowness: 1.6, ..IDLE }, 0)]
+#[case::nearly_full(Candidate { load: 11, slowness: 1.6, ..IDLE }, 1)]
+#[case::too_slow(Candidate { slowness: 4.0, ..IDLE }, 1)]
+#[case::failing(Candidate { failures: 0.5, ..IDLE }, 1)]
+#[case::closed(Candidate { is_open: false, ..IDLE }, 1)]
+fn the_own_zone_is_preferred_while_it_has_time_to_spare(
+    #[case] near: Candidate,
+    #[case] expected: usize,
+) {
+    let far = Candidate {
+        is_near: false,
+        slowness: 0.7,
+        ..IDLE
+    };
+    assert_eq!(place(&[near, far], RELAXED, || 0), Some(expected));
+}
+
 /// Guards against the choice of a backend server that is clearly worse than another.
 #[rstest]
 #[case::full(Candidate { load: 14, ..IDLE }, Candidate { is_near: false, ..IDLE })]
@@ -21,8 +46,8 @@
 #[case::closed(Candidate { is_open: false, ..IDLE }, Candidate { load: 50, failures: 1.0, ..IDLE })]
 fn the_better_backend_server_is_chosen(#[case] worse: Candidate, #[case] better: Candidate) {
     for random in [0, u64::MAX / 2, u64::MAX] {
-        assert_eq!(place(&[worse, better], || random), Some(1));
-        assert_eq!(place(&[better, worse], || random), Some(0));
+        assert_eq!(place(&[worse, better], TIGHT, || random), Some(1));
+        assert_eq!(place(&[better, worse], TIGHT, || random), Some(0));
     }
 }
 
@@ -38,7 +63,7 @@
     };
     let mut counts = [0; 3];
     for _ in 0..3000 {
-        counts[place(&[IDLE; 3], &mut random).unwrap()] += 1;
+        counts[place(&[IDLE; 3], TIGHT, &mut random).unwrap()] += 1;
     }
     assert!(counts.iter().all(|count| *count > 800), "{counts:?}");
 }
@@ -50,5 +75,5 @@
         failures: 1.0,
         ..IDLE
     };
-    assert!(place(&[failing; 2], || 0).is_some());
+    assert!(place(&[failing; 2], TIGHT, || 0).is_some());
 }
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -267,7 +267,9 @@
             }
         };
         let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
-        let at = place(&candidates, || self.random())?;
+        let service = self.service.borrow().of(call.demand.class).as_secs_f64();
+        let target = call.demand.target_at.since(now).as_secs_f64();
+        let at = place(&candidates, service / target, || self.random())?;
         Some(Arc::clone(&endpoints[at]))
     }
 
