--- a/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
@@ -28,6 +28,9 @@
 /// Longest time for which an idle connection is used again. Backend servers close theirs after a
 /// few seconds, and a request that meets the close may have run.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is used for a request that may run only once. Backend
+/// servers may forget idle connections without notice, and the request that finds out is lost.
+const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(200);
 
 /// Runs requests on the backend server beside this daemon.
 #[derive(Debug)]
@@ -76,9 +79,13 @@
             return Err(Failure::not_arrived(ErrorKind::DeadlineUnmeetable, reason));
         }
         let req = self.request(call, &id, now);
+        let max_idle = match call.is_idempotent {
+            true => IDLE_LIMIT,
+            false => ONCE_IDLE_LIMIT,
+        };
         let (parts, body) = self
             .pool
-            .exchange(self.addr, req, MAX_ANSWER_BYTES)
+            .exchange(self.addr, req, max_idle, MAX_ANSWER_BYTES)
             .await
             .map_err(|err| self.failed(&err))?;
         let service = permit.finish(&call.demand);
--- a/crates/lavenderhatch-relay/src/exchange/call.rs
+++ b/crates/lavenderhatch-relay/src/exchange/call.rs
@@ -25,6 +25,8 @@
     pub(crate) caller_service: HeaderValue,
     /// Service that is to run it.
     pub(crate) service: String,
+    /// Whether it may run more than once.
+    pub(crate) is_idempotent: bool,
     /// Rank, target and deadline.
     pub(crate) demand: Demand,
 }
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -27,6 +27,7 @@
 use crate::board::{Board, Endpoint};
 use crate::clock::Clock;
 use crate::config::RelayConfig;
+use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
 
 /// Part of the shared retry ratio that daemons spend. The rest covers calls that repeated requests
@@ -71,6 +72,7 @@
     service: RefCell<ServiceTimes>,
     spans: RefCell<DeadlineSpans>,
     random: RefCell<Pcg64Mcg>,
+    log_budget: RefCell<LogBudget>,
 }
 
 impl Origin {
@@ -88,6 +90,7 @@
             service: RefCell::default(),
             spans: RefCell::default(),
             random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+            log_budget: RefCell::default(),
             cfg: cfg.clone(),
         }
     }
@@ -166,6 +169,7 @@
             request_id: request_id.unwrap_or_else(|| HeaderValue::from_static("")),
             caller_service: self.caller_service.clone(),
             service: route.service(self.random()).to_owned(),
+            is_idempotent: route.is_idempotent,
             demand: Demand {
                 class,
                 priority: route.priority,
@@ -295,6 +299,9 @@
             }
             Err(failure) => {
                 self.metrics.failed(failure.kind);
+                let Some(dropped) = self.log_budget.borrow_mut().admit(now) else {
+                    return;
+                };
                 info!(
                     id = call.id(),
                     route = route.name,
@@ -305,6 +312,7 @@
                     arrived = attempts.arrived,
                     placed = attempts.placed,
                     took_ms = took.as_millis() as u64,
+                    lines_dropped = dropped,
                     "origin: request failed"
                 );
             }
--- a/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -13,6 +13,8 @@
 use super::call::Call;
 
 const SERVICE: &str = "lavenderhatch-service";
+/// Whether the request may run more than once.
+const IDEMPOTENT: &str = "lavenderhatch-idempotent";
 const CALLER: &str = "lavenderhatch-caller";
 const CLASS: &str = "lavenderhatch-class";
 const PRIORITY: &str = "lavenderhatch-priority";
@@ -30,6 +32,7 @@
 pub(super) struct HandedOver {
     pub(super) service: String,
     pub(super) caller_service: HeaderValue,
+    pub(super) is_idempotent: bool,
     pub(super) demand: Demand,
 }
 
@@ -37,6 +40,7 @@
 pub(super) fn write_call(call: &Call, headers: &mut HeaderMap, now: Timestamp) {
     insert(headers, SERVICE, &call.service);
     headers.insert(CALLER, call.caller_service.clone());
+    insert(headers, IDEMPOTENT, &call.is_idempotent.to_string());
     insert(headers, CLASS, &call.demand.class.to_string());
     insert(headers, PRIORITY, &call.demand.priority.to_string());
     let time_left = call.time_left(now).as_millis().to_string();
@@ -52,6 +56,7 @@
     Some(HandedOver {
         service: read(headers, SERVICE)?,
         caller_service: headers.get(CALLER)?.clone(),
+        is_idempotent: read(headers, IDEMPOTENT)?,
         demand: Demand {
             class: read(headers, CLASS)?,
             priority: read(headers, PRIORITY)?,
--- a/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
@@ -21,7 +21,7 @@
 /// milliseconds; a daemon behind a cut does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which an idle connection is used again.
-const IDLE_LIMIT: Duration = Duration::from_secs(3);
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Hands requests to other daemons.
 #[derive(Debug)]
@@ -42,7 +42,9 @@
     /// Hands over a request and reads its answer. Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call, endpoint: &Endpoint) -> Attempt {
         let req = self.request(call);
-        let answered = self.pool.exchange(endpoint.addr, req, MAX_ANSWER_BYTES);
+        let answered = self
+            .pool
+            .exchange(endpoint.addr, req, IDLE_LIMIT, MAX_ANSWER_BYTES);
         let (mut parts, body) = match answered.await {
             Ok(answer) => answer,
             Err(err) => return Err(self.failed(&err, endpoint)),
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -134,6 +134,7 @@
             request_id: request_id.unwrap_or_else(|| HeaderValue::from_static("")),
             caller_service: handed_over.caller_service,
             service: handed_over.service,
+            is_idempotent: handed_over.is_idempotent,
             demand: handed_over.demand,
         })
     }
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::http::response::Parts;
@@ -37,17 +37,18 @@
         }
     }
 
-    /// Sends a request and reads its whole answer of at most `limit` bytes. A kept connection that
-    /// has ended before the request was sent is replaced by a new one. Dropping the future closes
-    /// the connection.
+    /// Sends a request and reads its whole answer of at most `limit` bytes, over a connection that
+    /// has been idle for at most `max_idle` or a new one. A kept connection that has ended before
+    /// the request was sent is replaced. Dropping the future closes the connection.
     pub async fn exchange(
         &self,
         addr: SocketAddr,
         req: Exchange,
+        max_idle: Duration,
         limit: usize,
     ) -> Result<(Parts, Bytes), ClientError> {
         let mut req = req;
-        while let Some(conn) = self.take(addr) {
+        while let Some(conn) = self.take(addr, max_idle) {
             match self.exchange_on(conn, addr, req, limit).await {
                 Err((err, Some(unsent))) if err.is_not_sent() => req = unsent,
                 result => return result.map_err(|(err, _)| err),
@@ -82,11 +83,11 @@
         Ok(answer)
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<ClientConn> {
+    fn take(&self, addr: SocketAddr, max_idle: Duration) -> Option<ClientConn> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&addr)?;
         // The connection that was used last is the least likely to have been closed.
-        while let Some(last) = kept.pop() {
+        while let Some(last) = kept.pop_if(|last| last.since.elapsed() <= max_idle) {
             if self.is_usable(&last) {
                 return Some(last.conn);
             }
--- a/crates/lavenderhatch-relay/src/lib.rs
+++ b/crates/lavenderhatch-relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod http_port;
 mod io;
 mod lifecycle;
+mod log_budget;
 mod metrics;
 mod relay;
 
--- a/crates/lavenderhatch-relay/tests/testsuite/retries.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/retries.rs
@@ -78,3 +78,21 @@
         assert_eq!(status == 500, failing.seen_count() > 0, "status {status}");
     }
 }
+
+/// Guards against orders that are lost on a connection which the backend server has forgotten.
+#[test]
+fn a_request_that_may_run_once_does_not_use_an_old_connection() {
+    let backend = Backend::echo();
+    let mesh = Mesh::single(&backend);
+    let mut caller = mesh.daemons[0].caller();
+    caller.get("/safe/1");
+    assert_eq!(caller.read().unwrap().status, 200);
+    backend.forget_connections();
+    // Longer than connections are used again for such requests.
+    let pause = std::time::Instant::now();
+    while pause.elapsed() < std::time::Duration::from_millis(300) {
+        std::thread::park_timeout(std::time::Duration::from_millis(50));
+    }
+    caller.post("/once/2", "order");
+    assert_eq!(caller.read().unwrap().status, 200);
+}
--- a/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
@@ -52,6 +52,8 @@
     /// Gets the path of each held request whose connection ended.
     cancelled: Sender<String>,
     releases: Mutex<Vec<String>>,
+    /// Grows when connections are forgotten.
+    generation: AtomicUsize,
     running: AtomicUsize,
     most_running: AtomicUsize,
 }
@@ -75,6 +77,7 @@
             seen: seen_tx,
             cancelled: cancelled_tx,
             releases: Mutex::default(),
+            generation: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             most_running: AtomicUsize::new(0),
         });
@@ -118,6 +121,11 @@
         self.shared.releases.lock().unwrap().push(path.to_owned());
     }
 
+    /// Answers nothing more on the connections that are open now.
+    pub(crate) fn forget_connections(&self) {
+        self.shared.generation.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Most requests that ran at a time.
     pub(crate) fn most_running(&self) -> usize {
         self.shared.most_running.load(Ordering::SeqCst)
@@ -126,7 +134,11 @@
 
 fn serve(shared: &Shared, stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let generation = shared.generation.load(Ordering::SeqCst);
     while let Some(seen) = read_request(&mut reader) {
+        if shared.generation.load(Ordering::SeqCst) != generation {
+            return;
+        }
         let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
         shared.most_running.fetch_max(running, Ordering::SeqCst);
         let reply = (shared.rule)(&seen);
