Serve both ports by one function, and do not take a quick failure for a fast server

- The two ports had the same code for a connection; exchange/connection.rs serves both.
- Service times of failed requests no longer count: a server that fails at once looked fast.
- Requests without a route are logged and counted as well.
- The limit on the time of a head was read and never used; it is gone, and the idle timeout covers it.

--- a/crates/lavenderhatch-core/src/routing/caller_limits.rs
+++ b/crates/lavenderhatch-core/src/routing/caller_limits.rs
@@ -9,9 +9,7 @@
     pub max_head_bytes: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Longest time for the head of a request to arrive.
-    pub head_timeout: Duration,
-    /// Time after which an idle connection may be closed.
+    /// Time after which an idle connection, or one whose request does not arrive, may be closed.
     pub idle_timeout: Duration,
 }
 
@@ -20,7 +18,6 @@
         Self {
             max_head_bytes: 16 * 1024,
             max_body_bytes: 64 * 1024 * 1024,
-            head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/crates/lavenderhatch-relay/src/exchange.rs
+++ b/crates/lavenderhatch-relay/src/exchange.rs
@@ -8,6 +8,7 @@
 mod backend_leg;
 mod call;
 mod caller_port;
+mod connection;
 mod hop_headers;
 mod origin;
 mod peer_headers;
--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -10,9 +10,8 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use lavenderhatch_core::ErrorKind;
 use lavenderhatch_core::call::{ERROR_HEADER, OUTCOME_HEADER};
 use lavenderhatch_core::routing::CallerLimits;
@@ -21,8 +20,8 @@
 use tracing::debug;
 
 use super::attempt::Failure;
+use super::connection::{Answer, Disconnected, serve_connection};
 use super::origin::{Incoming, Origin, OriginAnswer};
-use super::peer_port::Disconnected;
 use super::pipeline::Pipeline;
 use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
 
@@ -65,42 +64,27 @@
             return debug!(error = %err, "caller: cannot set up a connection");
         }
         let stream = CallerStream::new(stream);
-        let port = Rc::clone(&self);
-        let of_service = stream.clone();
+        let closed = self.origin.board.lifecycle.subscribe();
         let pipeline = Rc::new(Pipeline::default());
-        let service = service_fn(move |req| {
-            let port = Rc::clone(&port);
-            let stream = of_service.clone();
-            let pipeline = Rc::clone(&pipeline);
+        let answer = |req| {
+            let port = Rc::clone(&self);
+            let (stream, pipeline) = (stream.clone(), Rc::clone(&pipeline));
             async move {
-                let res = tokio::select! {
+                tokio::select! {
                     biased;
                     res = port.answer(req, &stream, &pipeline) => res,
                     () = port.look_ahead(&stream, &pipeline) => Err(Disconnected),
-                };
-                stream.finish_request();
-                res
+                }
             }
-        });
+        };
         let limits = self.limits();
-        let conn = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        builder
             .timer(TokioTimer::new())
             // Covers the idle time between requests as well as the head of a request.
             .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
-        let mut closed = self.origin.board.lifecycle.subscribe();
-        let mut conn = std::pin::pin!(conn);
-        let served = tokio::select! {
-            served = conn.as_mut() => served,
-            _ = closed.wait_for(|is_closed| *is_closed) => {
-                conn.as_mut().graceful_shutdown();
-                conn.await
-            }
-        };
-        if let Err(err) = served {
-            debug!(error = %err, "caller: connection failed");
-        }
+            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
+        serve_connection(&builder, stream.clone(), closed, answer).await;
     }
 
     fn limits(&self) -> CallerLimits {
@@ -147,7 +131,7 @@
         req: Request<IncomingBody>,
         stream: &CallerStream,
         pipeline: &Pipeline,
-    ) -> Result<Response<Full<Bytes>>, Disconnected> {
+    ) -> Answer {
         if stream.is_ambiguous() {
             let failure = bad_request("the length of the request can be read in two ways");
             return Ok(self.respond(Err(failure)));
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/connection.rs
@@ -0,0 +1,55 @@
+//! One connection of a caller or of another daemon.
+
+use std::future::Future;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::sync::watch;
+use tracing::debug;
+
+use crate::io::CallerStream;
+
+/// The other side has closed the connection, so that nobody waits for the answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the other side has closed the connection")]
+pub(super) struct Disconnected;
+
+/// An answer, or the end of the connection.
+pub(super) type Answer = Result<Response<Full<Bytes>>, Disconnected>;
+
+/// Serves the requests of a connection one after the other. Once the ports are closed, the
+/// connection ends after the request in progress.
+pub(super) async fn serve_connection<F: Future<Output = Answer>>(
+    builder: &http1::Builder,
+    stream: CallerStream,
+    mut closed: watch::Receiver<bool>,
+    answer: impl Fn(Request<Incoming>) -> F,
+) {
+    let of_service = stream.clone();
+    let service = service_fn(move |req| {
+        let answered = answer(req);
+        let stream = of_service.clone();
+        async move {
+            let res = answered.await;
+            stream.finish_request();
+            res
+        }
+    });
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let served = tokio::select! {
+        served = conn.as_mut() => served,
+        _ = closed.wait_for(|is_closed| *is_closed) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(err) = served {
+        debug!(error = %err, "port: connection failed");
+    }
+}
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -97,7 +97,11 @@
 
     /// Answers a request. Dropping the future cancels it.
     pub(crate) async fn answer(&self, incoming: Incoming) -> OriginAnswer {
-        let (route, call) = self.route(incoming)?;
+        let id = incoming.headers.get(&self.cfg.headers.request_id).cloned();
+        let (route, call) = self.route(incoming).inspect_err(|failure| {
+            let id = id.as_ref().and_then(|id| id.to_str().ok());
+            self.log_unrouted(id.unwrap_or(""), failure);
+        })?;
         self.budget.borrow_mut().deposit();
         let limit = call.time_left(self.clock.now());
         let mut attempts = Attempts::default();
@@ -243,7 +247,12 @@
         match result {
             Ok(answer) => {
                 let stats = &endpoint.stats;
-                stats.record_result(answer.status.is_server_error(), now);
+                let is_failure = answer.status.is_server_error();
+                stats.record_result(is_failure, now);
+                if is_failure {
+                    // A server that fails at once is not a fast one.
+                    return;
+                }
                 let mut service = self.service.borrow_mut();
                 service.record(call.demand.class, answer.service);
                 stats.record_service(answer.service, service.of(call.demand.class));
@@ -319,6 +328,19 @@
         }
     }
 
+    fn log_unrouted(&self, id: &str, failure: &Failure) {
+        self.metrics.failed(failure.kind);
+        if let Some(dropped) = self.log_budget.borrow_mut().admit(self.clock.now()) {
+            info!(
+                id,
+                error = failure.kind.as_str(),
+                reason = failure.reason,
+                lines_dropped = dropped,
+                "origin: request not routed"
+            );
+        }
+    }
+
     fn version(&self) -> u64 {
         let routing = self.board.routing.load();
         routing.as_ref().as_ref().map_or(0, |table| table.version)
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -9,9 +9,8 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use lavenderhatch_core::ErrorKind;
 use tokio::net::TcpStream;
 use tokio::time::{interval, timeout};
@@ -20,6 +19,7 @@
 use super::attempt::{Attempt, Failure};
 use super::backend_leg::BackendLeg;
 use super::call::Call;
+use super::connection::{Answer, Disconnected, serve_connection};
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{HandedOver, read_call, write_failure, write_load, write_service_time};
 use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
@@ -61,39 +61,24 @@
             return debug!(error = %err, "peer: cannot set up a connection");
         }
         let stream = CallerStream::new(stream);
-        let port = Rc::clone(&self);
-        let of_service = stream.clone();
-        let service = service_fn(move |req| {
-            let port = Rc::clone(&port);
-            let stream = of_service.clone();
+        let closed = self.backend.board.lifecycle.subscribe();
+        let answer = |req| {
+            let port = Rc::clone(&self);
+            let stream = stream.clone();
             async move {
-                let res = tokio::select! {
+                tokio::select! {
                     biased;
                     res = port.answer(req) => res,
-                    () = closed(&stream) => Err(Disconnected),
-                };
-                stream.finish_request();
-                res
-            }
-        });
-        let conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service);
-        let mut closed = self.backend.board.lifecycle.subscribe();
-        let mut conn = std::pin::pin!(conn);
-        let served = tokio::select! {
-            served = conn.as_mut() => served,
-            _ = closed.wait_for(|is_closed| *is_closed) => {
-                conn.as_mut().graceful_shutdown();
-                conn.await
+                    () = disconnected(&stream) => Err(Disconnected),
+                }
             }
         };
-        if let Err(err) = served {
-            debug!(error = %err, "peer: connection failed");
-        }
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        serve_connection(&builder, stream.clone(), closed, answer).await;
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Disconnected> {
+    async fn answer(&self, req: Request<Incoming>) -> Answer {
         let Some(_guard) = self.backend.board.lifecycle.enter() else {
             let failure = Failure::not_arrived(ErrorKind::Leaving, "this daemon is leaving");
             return Ok(self.respond(Err(failure)));
@@ -162,11 +147,6 @@
 }
 
 /// Completes when the other daemon has closed the connection. Daemons send one request at a time.
-async fn closed(stream: &CallerStream) {
+async fn disconnected(stream: &CallerStream) {
     while let Ahead::Request(_) = stream.ahead().await {}
 }
-
-/// The other daemon has closed the connection, so that nobody waits for the answer.
-#[derive(Debug, thiserror::Error)]
-#[error("the other side has closed the connection")]
-pub(super) struct Disconnected;
