--- a/crates/lavenderhatch-bench/src/bin/overhead.rs
+++ b/crates/lavenderhatch-bench/src/bin/overhead/main.rs
@@ -1,7 +1,10 @@
 //! Measures what the mesh adds to a call.
 //!
-//! Real daemons run as processes on loopback. The same call is sent straight to the back end,
-//! through the daemon beside it (local leg), and through another daemon (peer leg), in one run.
+//! Real processes run on loopback. The same call is sent straight to the back end, through the
+//! daemon beside it (local leg), and through another daemon (peer leg), in one run. This is done for
+//! the path of `lavenderhatchd` and for the event-driven path of `lavenderhatch-relay`.
+
+mod relay_node;
 
 use std::path::PathBuf;
 use std::thread;
@@ -11,18 +14,22 @@
 use crossbeam::channel::{Receiver, after, never, tick};
 use eyre::{Result, WrapErr, bail, eyre};
 use hdrhistogram::Histogram;
-use lavenderhatch_bench::{Fleet, NodeOptions, Summary, report};
+use lavenderhatch_bench::{Fleet, NodeOptions, Summary, report, wait_until};
 use lavenderhatch_platform::ip_agent;
-use lavenderhatch_standin::{BackendStandin, Behaviour};
+use lavenderhatch_standin::{BackendStandin, Behaviour, REQUEST_ID_HEADER};
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
+use relay_node::RelayNode;
+
 /// Budget for what the mesh adds to a call for 99 in 100, in microseconds.
 const BUDGET_P99_US: u64 = 580;
 /// Numbers of callers.
 const CALLERS: [usize; 3] = [1, 32, 256];
 /// Slots of the back end, more than there are callers.
-const SLOTS: u32 = 512;
+pub(crate) const SLOTS: u32 = 512;
+/// Time for a process to answer after its start.
+const START_LIMIT: Duration = Duration::from_secs(10);
 /// Calls of one caller that are not counted.
 const WARM_UP_CALLS: usize = 20;
 
@@ -53,6 +60,9 @@
 
 fn main() -> Result<()> {
     let args = command().get_matches();
+    if let Some((relay_node::SUBCOMMAND, args)) = args.subcommand() {
+        return relay_node::run(args);
+    }
     let dir = std::env::temp_dir().join(format!("lavenderhatch-overhead-{}", std::process::id()));
     let mut fleet = Fleet::open(&dir)?;
     let rows = measure(&mut fleet, &args);
@@ -67,6 +77,7 @@
 fn command() -> Command {
     Command::new("overhead")
         .about("Measures what the mesh adds to a call")
+        .subcommand(relay_node::subcommand())
         .arg(
             Arg::new("calls")
                 .long("calls")
@@ -114,10 +125,21 @@
     let version = fleet.apply(MESH)?;
     fleet.wait_for_version(version)?;
     let entry = fleet.nodes[0].caller_addr;
+    let near = RelayNode::new("local", backends[0].addr());
+    let far = RelayNode::new("remote", backends[1].addr());
+    let _processes = [near.spawn(&[far])?, far.spawn(&[])?];
+    for node in [near, far] {
+        let url = format!("http://{}/{}", node.caller_addr, node.service);
+        wait_until(START_LIMIT, "the relay answers", || {
+            call_once(&agent(), &url).then_some(())
+        })?;
+    }
     let legs = [
         ("direct", format!("http://{}/local", backends[0].addr())),
-        ("local", format!("http://{entry}/local")),
-        ("peer", format!("http://{entry}/remote")),
+        ("daemon local", format!("http://{entry}/local")),
+        ("daemon peer", format!("http://{entry}/remote")),
+        ("relay local", format!("http://{}/local", near.caller_addr)),
+        ("relay peer", format!("http://{}/remote", near.caller_addr)),
     ];
     let calls = *args
         .get_one::<usize>("calls")
@@ -205,7 +227,7 @@
     pace: Option<Duration>,
     offset: Duration,
 ) -> Result<(Histogram<u64>, u64)> {
-    let agent = ip_agent(Agent::config_builder().http_status_as_error(false).build());
+    let agent = agent();
     after(offset).recv()?;
     let ticks: Receiver<Instant> = pace.map_or_else(never, tick);
     let mut histogram = Histogram::<u64>::new(3)?;
@@ -225,8 +247,13 @@
     Ok((histogram, failed))
 }
 
+fn agent() -> Agent {
+    ip_agent(Agent::config_builder().http_status_as_error(false).build())
+}
+
 fn call_once(agent: &Agent, url: &str) -> bool {
-    let Ok(mut res) = agent.get(url).call() else {
+    let req = agent.get(url).header(REQUEST_ID_HEADER, "overhead");
+    let Ok(mut res) = req.call() else {
         return false;
     };
     res.status() == 200 && res.body_mut().read_to_vec().is_ok()
@@ -234,7 +261,7 @@
 
 fn print_rows(rows: &[Row], earlier: &[Row]) {
     println!(
-        "{:<10} {:>7} {:<7} {:>9} {:>7} {:>8} {:>8} {:>8} {:>10} {:>10} {:>10} {:>12}",
+        "{:<10} {:>7} {:<12} {:>9} {:>7} {:>8} {:>8} {:>8} {:>10} {:>10} {:>10} {:>12}",
         "load",
         "callers",
         "leg",
--- /dev/null
+++ b/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
@@ -0,0 +1,195 @@
+//! The event-driven path of a request as a process of its own.
+//!
+//! The process runs this program again. Its routes and backend servers are fixed, so that only the
+//! path of a request is measured and not what fills the blackboard.
+
+use std::io::{Read, stdin};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, value_parser};
+use eyre::{Result, eyre};
+use hyper::header::HeaderName;
+use lavenderhatch_bench::Fleet;
+use lavenderhatch_core::routing::{CallerLimits, HostRoute, Part, RoutingTable};
+use lavenderhatch_decide::relay::{BackendPhase, BackendReport, BackendState};
+use lavenderhatch_relay::{
+    Board, Endpoint, EndpointStats, EndpointView, HeaderNames, Relay, RelayConfig, Writers,
+};
+use lavenderhatch_standin::{REQUEST_ID_HEADER, SIGNATURE_HEADER};
+
+use crate::SLOTS;
+
+/// Name of the subcommand that runs the process.
+pub(crate) const SUBCOMMAND: &str = "relay-node";
+/// Time for a request.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which an answer is worth most.
+const TARGET: Duration = Duration::from_millis(50);
+const ZONE: &str = "zone-a";
+
+/// Where a process listens, and its backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayNode<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) caller_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
+    pub(crate) backend_addr: SocketAddr,
+}
+
+/// A running process. Dropping it ends the process.
+#[derive(Debug)]
+pub(crate) struct RelayProcess(Child);
+
+impl Drop for RelayProcess {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl<'a> RelayNode<'a> {
+    /// A node with addresses of its own.
+    pub(crate) fn new(service: &'a str, backend_addr: SocketAddr) -> Self {
+        Self {
+            service,
+            caller_addr: Fleet::free_addr(),
+            peer_addr: Fleet::free_addr(),
+            backend_addr,
+        }
+    }
+
+    /// Starts the process. `others` are the nodes to which it hands requests.
+    pub(crate) fn spawn(&self, others: &[RelayNode<'_>]) -> Result<RelayProcess> {
+        let mut command = Command::new(std::env::current_exe()?);
+        command.arg(SUBCOMMAND).arg(self.service);
+        for addr in [self.caller_addr, self.peer_addr, self.backend_addr] {
+            command.arg(addr.to_string());
+        }
+        for other in others {
+            command.arg(format!("{}={}", other.service, other.peer_addr));
+        }
+        // The process ends with its standard input.
+        Ok(RelayProcess(command.stdin(Stdio::piped()).spawn()?))
+    }
+}
+
+/// Arguments of the subcommand.
+pub(crate) fn subcommand() -> clap::Command {
+    let addr = |name: &'static str| {
+        Arg::new(name)
+            .required(true)
+            .value_parser(value_parser!(SocketAddr))
+    };
+    clap::Command::new(SUBCOMMAND)
+        .about("Carries requests for another process of this program")
+        .hide(true)
+        .arg(Arg::new("service").required(true))
+        .arg(addr("caller"))
+        .arg(addr("peer"))
+        .arg(addr("backend"))
+        .arg(Arg::new("others").num_args(0..).value_name("SERVICE=ADDR"))
+}
+
+/// Runs the process until its standard input ends.
+pub(crate) fn run(args: &ArgMatches) -> Result<()> {
+    let addr = |name: &str| {
+        let addr = args.get_one::<SocketAddr>(name).copied();
+        addr.ok_or_else(|| eyre!("no address {name}"))
+    };
+    let service = args.get_one::<String>("service");
+    let service = service.ok_or_else(|| eyre!("no service"))?;
+    let cfg = config(service, addr("caller")?, addr("peer")?, addr("backend")?);
+    let mut endpoints = vec![endpoint(service, cfg.peer_addr, true)];
+    for other in args.get_many::<String>("others").unwrap_or_default() {
+        let (service, addr) = other
+            .split_once('=')
+            .ok_or_else(|| eyre!("{other:?} is no SERVICE=ADDR"))?;
+        endpoints.push(endpoint(service, addr.parse()?, false));
+    }
+    let (board, writers) = Board::open();
+    let relay = Relay::spawn(cfg.clone(), board)?;
+    fill(&writers, &relay, &cfg, endpoints);
+    stdin().read_to_end(&mut Vec::new())?;
+    Ok(())
+}
+
+fn config(
+    service: &str,
+    caller_addr: SocketAddr,
+    peer_addr: SocketAddr,
+    backend_addr: SocketAddr,
+) -> RelayConfig {
+    RelayConfig {
+        zone: ZONE.to_owned(),
+        service: service.to_owned(),
+        caller_addr,
+        peer_addr,
+        backend_addr,
+        headers: HeaderNames {
+            request_id: HeaderName::from_static(REQUEST_ID_HEADER),
+            time_left: HeaderName::from_static("time-left"),
+            signature: HeaderName::from_static(SIGNATURE_HEADER),
+            expected_backend: HeaderName::from_static("expected-backend"),
+            not_run: HeaderName::from_static("not-run"),
+            caller_service: HeaderName::from_static("caller-service"),
+        },
+        retry_ratio: 0.2,
+        retry_allowance: 20.0,
+        backend_lapse: Duration::from_secs(24 * 3600),
+    }
+}
+
+fn endpoint(service: &str, addr: SocketAddr, is_local: bool) -> (String, Endpoint) {
+    let endpoint = Endpoint {
+        id: service.to_owned(),
+        born: 1,
+        addr,
+        zone: ZONE.to_owned(),
+        slots: SLOTS,
+        is_local,
+        stats: Arc::new(EndpointStats::default()),
+    };
+    (service.to_owned(), endpoint)
+}
+
+fn fill(writers: &Writers, relay: &Relay, cfg: &RelayConfig, endpoints: Vec<(String, Endpoint)>) {
+    let host = cfg.caller_addr.ip().to_string();
+    let routes = endpoints
+        .iter()
+        .map(|(service, _)| (host.clone(), route(service)));
+    let table = RoutingTable::new(1, CallerLimits::default(), routes);
+    writers.routing.publish(Some(table));
+    let daemons = endpoints.len();
+    let view = EndpointView::update(&EndpointView::default(), endpoints, daemons);
+    writers.endpoints.publish(view);
+    let report = BackendReport {
+        id: cfg.service.clone(),
+        born: 1,
+        sequence: 1,
+        slots: SLOTS,
+        phase: BackendPhase::Ready,
+    };
+    let mut state = BackendState::default();
+    state.hear(&report, relay.clock().now());
+    writers.backend.publish(state);
+    relay.gate().set_slots(SLOTS);
+}
+
+fn route(service: &str) -> HostRoute {
+    HostRoute {
+        name: service.to_owned(),
+        prefix: format!("/{service}"),
+        is_idempotent: true,
+        timeout: TIMEOUT,
+        target: TARGET,
+        priority: 0,
+        max_attempts: 2,
+        parts: vec![Part {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+    }
+}
--- a/crates/lavenderhatch-standin/src/backend.rs
+++ b/crates/lavenderhatch-standin/src/backend.rs
@@ -12,12 +12,17 @@
 
 use lavenderhatch_core::call::{DEADLINE_HEADER, KEY_HEADER};
 use lavenderhatch_core::{Error, ErrorKind};
+use oxhttp::model::header::{HeaderName, HeaderValue};
 use oxhttp::model::{Body, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
 
 use crate::behaviour::Behaviour;
 use crate::slots::Slots;
 
+/// Header with the identity of a request, which its answer repeats.
+pub const REQUEST_ID_HEADER: &str = "request-id";
+/// Header with which a stand-in marks its answers.
+pub const SIGNATURE_HEADER: &str = "signature";
 /// Time after which a silent connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Time allowed for a request that names no deadline.
@@ -155,7 +160,12 @@
     let head = format!("{} {} {target}\n", state.name, req.method());
     let mut answer = head.into_bytes();
     answer.extend_from_slice(&body);
-    Response::new(Body::from(answer))
+    let mut res = Response::new(Body::from(answer));
+    let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+    let headers = res.headers_mut();
+    headers.extend(id.map(|id| (HeaderName::from_static(REQUEST_ID_HEADER), id)));
+    headers.insert(SIGNATURE_HEADER, HeaderValue::from_static("standin"));
+    res
 }
 
 fn time_left(req: &Request<Body>) -> Duration {
--- a/crates/lavenderhatch-standin/src/lib.rs
+++ b/crates/lavenderhatch-standin/src/lib.rs
@@ -8,6 +8,6 @@
 mod loopback;
 mod slots;
 
-pub use backend::{BackendStandin, RunCounts};
+pub use backend::{BackendStandin, REQUEST_ID_HEADER, RunCounts, SIGNATURE_HEADER};
 pub use behaviour::Behaviour;
 pub use loopback::next_loopback_ip;
