Look for a free slot before a request waits, and share speeds by mean

Cause: on the grown sites each of 75 daemons sends 20 requests a second to 46 backend servers, so what it knows of each is old: loads were unknown, and the speed of a server was learnt from single service times with a weight of 0.05, which takes more than a minute there.

Change: the first attempt does not wait for a slot; a full daemon says so at once with its load. An answer carries the mean service time of its kind at that backend server, so one answer tells as much as ten did. The load of the own backend server is read from the gate.

The test of the slots released requests before all had begun (seen: 2 and 3 of 4 running, on a busy machine); it now waits until all slots are taken and two requests wait, which is stricter.

--- a/crates/lavenderhatch-decide/src/relay/next_step.rs
+++ b/crates/lavenderhatch-decide/src/relay/next_step.rs
@@ -42,8 +42,20 @@
     PlaceElsewhere,
 }
 
-/// Most backend servers that are asked for a slot for one request.
-const MAX_PLACED: u32 = 3;
+/// Backend servers that are asked for a free slot before the request waits for one. A second look found
+/// few more free slots and sent more bodies between zones.
+const LOOKS: u32 = 1;
+/// Most backend servers at which one request asks to wait.
+const MAX_WAITS: u32 = 3;
+
+/// Whether an attempt may wait for a slot. `placed` counts the attempts before it.
+///
+/// Load that it answers: many daemons that each send little. What each knows of the others' slots is
+/// old, so the first choice may be full while others have slots free. A daemon that must not wait says
+/// so at once, with its present load, and the next choice knows more.
+pub fn may_wait(placed: u32) -> bool {
+    placed >= LOOKS
+}
 
 /// Decides what follows the end of an attempt. `attempts` counts the attempt that has ended.
 pub fn next_step(
@@ -53,7 +65,7 @@
     max_attempts: u32,
     time_left: Duration,
 ) -> NextStep {
-    if time_left < MIN_TIME_LEFT || attempts.placed >= MAX_PLACED {
+    if time_left < MIN_TIME_LEFT || attempts.placed >= LOOKS + MAX_WAITS {
         return NextStep::Finish;
     }
     let may_repeat = match end {
--- a/crates/lavenderhatch-decide/src/relay/service_times.rs
+++ b/crates/lavenderhatch-decide/src/relay/service_times.rs
@@ -3,18 +3,35 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Weight of one sample in the moving mean.
+/// Least weight of one sample in the moving mean. The first samples weigh alike.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Kinds that are kept. Names of routes change with versions, so old ones are forgotten.
 const MAX_CLASSES: usize = 1024;
 
+/// A moving mean in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    ms: f64,
+    samples: u32,
+}
+
+impl Mean {
+    fn record(&mut self, ms: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(self.samples)).max(SAMPLE_WEIGHT);
+        self.ms += (ms - self.ms) * weight;
+    }
+
+    fn get(self) -> Duration {
+        Duration::from_micros((self.ms * 1000.0) as u64)
+    }
+}
+
 /// Moving means of service times, by kind of request.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTimes {
-    /// Milliseconds.
-    by_class: HashMap<u64, f64>,
-    /// Mean over all kinds in milliseconds, zero before the first sample.
-    overall: f64,
+    by_class: HashMap<u64, Mean>,
+    overall: Mean,
 }
 
 impl ServiceTimes {
@@ -24,22 +41,17 @@
         if self.by_class.len() >= MAX_CLASSES {
             self.by_class.clear();
         }
-        let mean = self.by_class.entry(class).or_insert(ms);
-        *mean += (ms - *mean) * SAMPLE_WEIGHT;
-        match self.overall > 0.0 {
-            true => self.overall += (ms - self.overall) * SAMPLE_WEIGHT,
-            false => self.overall = ms,
-        }
+        self.by_class.entry(class).or_default().record(ms);
+        self.overall.record(ms);
     }
 
     /// Mean service time of a kind; that of all kinds if it is not known.
     pub fn of(&self, class: u64) -> Duration {
-        let ms = self.by_class.get(&class).copied().unwrap_or(self.overall);
-        Duration::from_micros((ms * 1000.0) as u64)
+        self.by_class.get(&class).unwrap_or(&self.overall).get()
     }
 
     /// Mean service time over all kinds, zero before the first sample.
     pub fn overall(&self) -> Duration {
-        Duration::from_micros((self.overall * 1000.0) as u64)
+        self.overall.get()
     }
 }
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/next_step.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/next_step.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lavenderhatch_decide::relay::{AttemptEnd, Attempts, NextStep, next_step};
+use lavenderhatch_decide::relay::{AttemptEnd, Attempts, NextStep, may_wait, next_step};
 use rstest::rstest;
 
 const FAILED: AttemptEnd = AttemptEnd::Answered {
@@ -37,6 +37,12 @@
     assert_eq!(next_step(end, attempts, is_idempotent, 2, left), expected);
 }
 
+/// Guards against requests that wait at the first backend server while others have slots free.
+#[test]
+fn a_request_looks_for_a_free_slot_before_it_waits() {
+    assert_eq!([0, 1, 2].map(may_wait), [false, true, true]);
+}
+
 /// Guards against attempts whose answer cannot come in time.
 #[test]
 fn nothing_is_sent_once_more_without_time() {
--- a/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
@@ -11,8 +11,8 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Time in which a share of failures halves while no request is sent, in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 4000.0;
-/// Weight of one request in the slowness.
-const SLOWNESS_WEIGHT: f64 = 0.05;
+/// Weight of one report in the slowness. A report is a mean over about ten requests.
+const SLOWNESS_WEIGHT: f64 = 0.3;
 /// Slowness is kept within this factor of the mean, so that a few long requests do not shut out a
 /// backend server.
 const MAX_SLOWNESS: f64 = 8.0;
@@ -103,12 +103,12 @@
         f64::from_bits(self.failures.load(Relaxed)) * 0.5f64.powf(halvings)
     }
 
-    /// Takes in a service time and the mean of its kind over all backend servers.
-    pub fn record_service(&self, took: Duration, mean: Duration) {
-        if mean.is_zero() {
+    /// Takes in the mean service time of a kind of request there, and that over all backend servers.
+    pub fn record_speed(&self, there: Duration, overall: Duration) {
+        if overall.is_zero() {
             return;
         }
-        let ratio = took.as_secs_f64() / mean.as_secs_f64();
+        let ratio = there.as_secs_f64() / overall.as_secs_f64();
         let ratio = ratio.clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
         let before = self.slowness();
         let after = before + (ratio - before) * SLOWNESS_WEIGHT;
--- a/crates/lavenderhatch-relay/src/exchange/attempt.rs
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -18,6 +18,8 @@
     pub(crate) body: Bytes,
     /// Time for which the request held its slot.
     pub(crate) service: Duration,
+    /// Mean of such times for requests of its kind at this backend server.
+    pub(crate) mean_service: Duration,
 }
 
 /// Why an attempt has no answer of a backend server.
--- a/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
@@ -18,7 +18,7 @@
 use crate::board::Board;
 use crate::clock::Clock;
 use crate::config::HeaderNames;
-use crate::gate::Gate;
+use crate::gate::{Gate, Held};
 use crate::io::{ClientError, ClientPool, ClientTimeouts};
 
 /// Largest answer that is kept, in bytes.
@@ -70,7 +70,11 @@
     /// Runs a request once it has a slot. Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call) -> Attempt {
         self.serving(call)?;
-        let permit = self.gate.enter(&call.demand).await.map_err(overloaded)?;
+        let permit = self
+            .gate
+            .enter(&call.demand, call.may_wait)
+            .await
+            .map_err(overloaded)?;
         // The backend server may have begun to leave while the request waited.
         let id = self.serving(call)?;
         let now = self.clock.now();
@@ -88,8 +92,8 @@
             .exchange(self.addr, req, max_idle, MAX_ANSWER_BYTES)
             .await
             .map_err(|err| self.failed(&err))?;
-        let service = permit.finish(&call.demand);
-        self.check(call, parts, body, service)
+        let held = permit.finish(&call.demand);
+        self.check(call, parts, body, held)
     }
 
     /// Name of the header with the identity of a request.
@@ -142,7 +146,7 @@
     }
 
     /// Checks that an answer is the backend server's whole answer to this request.
-    fn check(&self, call: &Call, mut parts: Parts, body: Bytes, service: Duration) -> Attempt {
+    fn check(&self, call: &Call, mut parts: Parts, body: Bytes, held: Held) -> Attempt {
         let names = &self.headers;
         let is_own = match parts.headers.get(&names.request_id) {
             Some(id) => id == call.request_id,
@@ -174,7 +178,8 @@
             status: parts.status,
             headers: parts.headers,
             body,
-            service,
+            service: held.took,
+            mean_service: held.mean,
         })
     }
 }
--- a/crates/lavenderhatch-relay/src/exchange/call.rs
+++ b/crates/lavenderhatch-relay/src/exchange/call.rs
@@ -29,6 +29,8 @@
     pub(crate) is_idempotent: bool,
     /// Rank, target and deadline.
     pub(crate) demand: Demand,
+    /// Whether it waits if no slot is free.
+    pub(crate) may_wait: bool,
 }
 
 impl Call {
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -11,7 +11,7 @@
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{
     AttemptEnd, Attempts, Candidate, DeadlineSpans, Demand, NextStep, RetryBudget, ServiceTimes,
-    next_step, place,
+    may_wait, next_step, place,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -98,14 +98,14 @@
     /// Answers a request. Dropping the future cancels it.
     pub(crate) async fn answer(&self, incoming: Incoming) -> OriginAnswer {
         let id = incoming.headers.get(&self.cfg.headers.request_id).cloned();
-        let (route, call) = self.route(incoming).inspect_err(|failure| {
+        let (route, mut call) = self.route(incoming).inspect_err(|failure| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             self.log_unrouted(id.unwrap_or(""), failure);
         })?;
         self.budget.borrow_mut().deposit();
         let limit = call.time_left(self.clock.now());
         let mut attempts = Attempts::default();
-        let placed = self.attempt_all(&route, &call, &mut attempts);
+        let placed = self.attempt_all(&route, &mut call, &mut attempts);
         let result = match timeout(limit, placed).await {
             Ok(result) => result,
             Err(_) => Err(expired(attempts)),
@@ -181,26 +181,42 @@
                 target_at: incoming.arrived + route.target.saturating_sub(elapsed),
                 expires_at: incoming.arrived + allowed.min(route.timeout),
             },
+            may_wait: may_wait(0),
         }
     }
 
     async fn attempt_all(
         &self,
         route: &HostRoute,
-        call: &Call,
+        call: &mut Call,
         attempts: &mut Attempts,
     ) -> OriginAnswer {
         let mut tried: Vec<Arc<Endpoint>> = Vec::new();
+        // Backend servers that had no slot free. The request may still wait there.
+        let mut full: Vec<Arc<Endpoint>> = Vec::new();
         let mut last: Option<OriginAnswer> = None;
         // The end of an attempt in which the request may have run. A later refusal must not hide it.
         let mut ran: Option<OriginAnswer> = None;
         loop {
-            let Some(endpoint) = self.choose(call, &tried) else {
+            call.may_wait = may_wait(attempts.placed);
+            if call.may_wait {
+                full.clear();
+            }
+            let mut chosen = self.choose(call, tried.iter().chain(&full));
+            if chosen.is_none() && !full.is_empty() {
+                call.may_wait = true;
+                full.clear();
+                chosen = self.choose(call, tried.iter());
+            }
+            let Some(endpoint) = chosen else {
                 return ran.or(last).unwrap_or_else(|| Err(no_backend(call)));
             };
             attempts.placed += 1;
             let result = self.attempt(call, &endpoint).await;
-            tried.push(endpoint);
+            match is_full(call, &result) {
+                true => full.push(endpoint),
+                false => tried.push(endpoint),
+            }
             let (end, has_arrived) = end_of(&result);
             let is_refusal = matches!(end, AttemptEnd::NotRun { .. });
             let result = match ran.take() {
@@ -255,9 +271,10 @@
                 }
                 let mut service = self.service.borrow_mut();
                 service.record(call.demand.class, answer.service);
-                stats.record_service(answer.service, service.of(call.demand.class));
+                stats.record_speed(answer.mean_service, service.of(call.demand.class));
             }
             Err(failure) if failure.has_arrived => endpoint.stats.record_result(true, now),
+            Err(_) if is_full(call, result) => {}
             Err(failure) if failure.kind == ErrorKind::Overloaded => {
                 let pause = (failure.retry_after / 2).clamp(MIN_FULL_PAUSE, MAX_FULL_PAUSE);
                 let priority = call.demand.priority;
@@ -267,15 +284,24 @@
         }
     }
 
-    fn choose(&self, call: &Call, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+    fn choose<'a>(
+        &self,
+        call: &Call,
+        tried: impl Iterator<Item = &'a Arc<Endpoint>> + Clone,
+    ) -> Option<Arc<Endpoint>> {
         let now = self.clock.now();
         let view = self.board.endpoints.load();
         let endpoints = view.of(&call.service);
         let candidate = |endpoint: &Arc<Endpoint>| {
-            let is_tried = tried.iter().any(|tried| Arc::ptr_eq(tried, endpoint));
+            let is_tried = tried.clone().any(|tried| Arc::ptr_eq(tried, endpoint));
             let candidate = endpoint.candidate(&self.cfg.zone, call.demand.priority, now);
+            let load = match endpoint.is_local {
+                true => self.backend.gate.load(),
+                false => candidate.load,
+            };
             Candidate {
                 is_open: candidate.is_open && !is_tried,
+                load,
                 ..candidate
             }
         };
@@ -378,6 +404,14 @@
     }
 }
 
+/// Whether an attempt that must not wait found no free slot.
+fn is_full(call: &Call, result: &Attempt) -> bool {
+    let Err(failure) = result else {
+        return false;
+    };
+    failure.kind == ErrorKind::Overloaded && !failure.has_arrived && !call.may_wait
+}
+
 /// Whether a request with this result may have run.
 fn may_have_run(result: &OriginAnswer) -> bool {
     result
--- a/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -27,6 +27,11 @@
 /// Time for which the request held its slot, in microseconds.
 const SERVICE_TIME: &str = "lavenderhatch-service-us";
 
+/// Mean of such times for requests of the same kind at the backend server, in microseconds.
+const MEAN_SERVICE_TIME: &str = "lavenderhatch-mean-service-us";
+/// Whether the request waits if no slot is free.
+const MAY_WAIT: &str = "lavenderhatch-may-wait";
+
 /// What another daemon says of a request beside the request itself.
 #[derive(Debug)]
 pub(super) struct HandedOver {
@@ -34,6 +39,7 @@
     pub(super) caller_service: HeaderValue,
     pub(super) is_idempotent: bool,
     pub(super) demand: Demand,
+    pub(super) may_wait: bool,
 }
 
 /// Adds what another daemon needs to run a request.
@@ -47,6 +53,7 @@
     insert(headers, TIME_LEFT, &time_left);
     let target_left = call.demand.target_at.since(now).as_millis().to_string();
     insert(headers, TARGET_LEFT, &target_left);
+    insert(headers, MAY_WAIT, &call.may_wait.to_string());
 }
 
 /// Reads what another daemon says of a request. `None` if a header is missing or unreadable.
@@ -64,6 +71,7 @@
             target_at: now + target_left,
             expires_at: now + time_left,
         },
+        may_wait: read(headers, MAY_WAIT)?,
     })
 }
 
@@ -77,14 +85,18 @@
     read(headers, LOAD)
 }
 
-/// Adds the service time to an answer.
-pub(super) fn write_service_time(headers: &mut HeaderMap, took: Duration) {
+/// Adds the service time to an answer, and the mean of its kind.
+pub(super) fn write_service_time(headers: &mut HeaderMap, took: Duration, mean: Duration) {
     insert(headers, SERVICE_TIME, &took.as_micros().to_string());
+    insert(headers, MEAN_SERVICE_TIME, &mean.as_micros().to_string());
 }
 
-/// The service time of an answer of a backend server. `None` if no backend server has answered.
-pub(super) fn read_service_time(headers: &HeaderMap) -> Option<Duration> {
-    read(headers, SERVICE_TIME).map(Duration::from_micros)
+/// The service time of an answer of a backend server, and the mean of its kind. `None` if no backend
+/// server has answered.
+pub(super) fn read_service_time(headers: &HeaderMap) -> Option<(Duration, Duration)> {
+    let took = read(headers, SERVICE_TIME).map(Duration::from_micros)?;
+    let mean = read(headers, MEAN_SERVICE_TIME).map(Duration::from_micros);
+    Some((took, mean.unwrap_or(took)))
 }
 
 /// Adds a failure to an answer.
--- a/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
@@ -52,7 +52,7 @@
         if let Some(load) = read_load(&parts.headers) {
             endpoint.stats.report(load, self.clock.now());
         }
-        let Some(service) = read_service_time(&parts.headers) else {
+        let Some((service, mean_service)) = read_service_time(&parts.headers) else {
             return Err(read_failure(&parts.headers, &body));
         };
         remove_hop_headers(&mut parts.headers);
@@ -61,6 +61,7 @@
             headers: parts.headers,
             body,
             service,
+            mean_service,
         })
     }
 
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -121,6 +121,7 @@
             service: handed_over.service,
             is_idempotent: handed_over.is_idempotent,
             demand: handed_over.demand,
+            may_wait: handed_over.may_wait,
         })
     }
 
@@ -130,7 +131,7 @@
                 let mut res = Response::new(Full::new(answer.body));
                 *res.status_mut() = answer.status;
                 *res.headers_mut() = answer.headers;
-                write_service_time(res.headers_mut(), answer.service);
+                write_service_time(res.headers_mut(), answer.service, answer.mean_service);
                 res
             }
             Err(failure) => {
--- a/crates/lavenderhatch-relay/src/gate.rs
+++ b/crates/lavenderhatch-relay/src/gate.rs
@@ -38,14 +38,15 @@
         })
     }
 
-    /// Waits for a slot. Dropping the future gives up the place in the queue.
-    pub async fn enter(self: &Arc<Self>, demand: &Demand) -> Verdict {
+    /// Takes a slot, and waits for one if `may_wait`. Dropping the future gives up the place in the
+    /// queue.
+    pub async fn enter(self: &Arc<Self>, demand: &Demand, may_wait: bool) -> Verdict {
         let now = self.clock.now();
         if self.enter_at_once(demand, now) {
             return Ok(self.permit());
         }
         let slots = u32::from(self.slots.state().limit);
-        let (tx, rx) = oneshot::channel();
+        let (tx, mut rx) = oneshot::channel();
         let (offered, latest) = {
             let mut queue = self.lock();
             let latest = demand.latest_start(queue.service_time(demand.class));
@@ -55,6 +56,12 @@
         let place = Place { gate: self, ticket };
         // A slot may have been freed between the look at the slots and the entry in the queue.
         self.dispatch();
+        if !may_wait {
+            // A slot may be free that is kept for urgent requests while others wait.
+            let granted = rx.try_recv();
+            drop(place);
+            return granted.unwrap_or_else(|_| Err(self.lock().refusal(slots)));
+        }
         let verdict = timeout(latest.since(now), rx).await;
         drop(place);
         match verdict {
@@ -162,6 +169,15 @@
     }
 }
 
+/// Times for which slots were held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// By this request.
+    pub took: Duration,
+    /// By requests of its kind, on average.
+    pub mean: Duration,
+}
+
 /// A slot, freed when dropped.
 #[derive(Debug)]
 pub struct Permit {
@@ -170,13 +186,16 @@
 }
 
 impl Permit {
-    /// Frees the slot of a request that has run to its end. Returns its service time.
-    pub fn finish(self, demand: &Demand) -> Duration {
+    /// Frees the slot of a request that has run to its end.
+    pub fn finish(self, demand: &Demand) -> Held {
         let now = self.gate.clock.now();
         let took = now.since(self.since);
         let mut queue = self.gate.lock();
         queue.record(demand.class, demand.priority, took, now);
-        took
+        Held {
+            took,
+            mean: queue.service_time(demand.class),
+        }
     }
 }
 
--- a/crates/lavenderhatch-relay/tests/testsuite/limits.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/limits.rs
@@ -55,9 +55,17 @@
     for (at, caller) in callers.iter_mut().enumerate() {
         caller.get(&format!("/safe/{at}"));
     }
-    for _ in 0..callers.len() {
-        let path = backend.next_seen().path().to_owned();
-        backend.release(&path);
+    // Nothing is released before all slots are taken and the other requests wait.
+    let running: Vec<String> = (0..4)
+        .map(|_| backend.next_seen().path().to_owned())
+        .collect();
+    while mesh.daemons[0].relay.gate().load() < 6 {
+        std::thread::park_timeout(Duration::from_millis(1));
+    }
+    assert_eq!(backend.seen_count(), 0);
+    running.iter().for_each(|path| backend.release(path));
+    for _ in 0..2 {
+        backend.release(backend.next_seen().path());
     }
     for caller in &mut callers {
         assert_eq!(caller.read().unwrap().status, 200);
@@ -65,6 +73,26 @@
     assert_eq!(backend.most_running(), 4);
 }
 
+/// Guards against requests that wait at a full backend server while another one has slots free.
+#[test]
+fn a_free_slot_elsewhere_is_taken_before_a_request_waits() {
+    let backends = [(); 2].map(|()| Backend::bind(|_| Reply::OnRelease("done")));
+    let mesh = Mesh::spawn(&[&backends[0], &backends[1]], &[RouteSpec::SAFE]);
+    // Each daemon knows only of its own requests at the other backend server.
+    let mut callers: Vec<Caller> = (0..8).map(|at| mesh.daemons[at % 2].caller()).collect();
+    for (at, caller) in callers.iter_mut().enumerate() {
+        caller.get(&format!("/safe/{at}"));
+    }
+    for backend in &backends {
+        for _ in 0..4 {
+            backend.release(backend.next_seen().path());
+        }
+    }
+    for caller in &mut callers {
+        assert_eq!(caller.read().unwrap().status, 200);
+    }
+}
+
 /// Guards against new work for a backend server that has said that it leaves, also for requests that
 /// were waiting for a slot.
 #[test]
