Log each request under a budget, and share what the two ports repeat

One line for each request tells the route, the version, the backend server and the load known of it, the attempts and the outcome. Answers and failures have budgets of 50 lines a second of their own. A daemon that does not run a request of another one logs what decided it: load, whether the request might wait, and the advised time. Before, answers were logged at level debug only.

The log of requests and the reading of an attempt's end are files of their own, and the log is opened in one place for the daemon and the measurement. An unused function of Lifecycle is gone. No decision changes.

--- a/crates/lavenderhatch-bench/src/bin/overhead/main.rs
+++ b/crates/lavenderhatch-bench/src/bin/overhead/main.rs
@@ -82,7 +82,7 @@
             Arg::new("calls")
                 .long("calls")
                 .value_name("N")
-                .help("Calls of each measurement")
+                .help("Calls of each measurement; 20000 at the default rate take 10 s")
                 .default_value("20000")
                 .value_parser(value_parser!(usize)),
         )
@@ -127,8 +127,13 @@
     let entry = fleet.nodes[0].caller_addr;
     let near = RelayNode::new("local", backends[0].addr());
     let far = RelayNode::new("remote", backends[1].addr());
-    let _processes = [near.spawn(&[far])?, far.spawn(&[])?];
-    for node in [near, far] {
+    let logging = RelayNode::new("local", backends[0].addr());
+    let _processes = [
+        near.spawn(&[far], None)?,
+        far.spawn(&[], None)?,
+        logging.spawn(&[], Some("info"))?,
+    ];
+    for node in [near, far, logging] {
         let url = format!("http://{}/{}", node.caller_addr, node.service);
         wait_until(START_LIMIT, "the relay answers", || {
             call_once(&agent(), &url).then_some(())
@@ -140,6 +145,10 @@
         ("daemon peer", format!("http://{entry}/remote")),
         ("relay local", format!("http://{}/local", near.caller_addr)),
         ("relay peer", format!("http://{}/remote", near.caller_addr)),
+        (
+            "relay logged",
+            format!("http://{}/local", logging.caller_addr),
+        ),
     ];
     let calls = *args
         .get_one::<usize>("calls")
--- a/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
+++ b/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
@@ -17,6 +17,7 @@
 use lavenderhatch_decide::relay::{BackendPhase, BackendReport, BackendState};
 use lavenderhatch_relay::{
     Board, Endpoint, EndpointStats, EndpointView, HeaderNames, Relay, RelayConfig, Writers,
+    open_log,
 };
 use lavenderhatch_standin::{REQUEST_ID_HEADER, SIGNATURE_HEADER};
 
@@ -62,9 +63,18 @@
     }
 
     /// Starts the process. `others` are the nodes to which it hands requests.
-    pub(crate) fn spawn(&self, others: &[RelayNode<'_>]) -> Result<RelayProcess> {
+    /// A log level writes the log that the daemon of the platform writes.
+    pub(crate) fn spawn(
+        &self,
+        others: &[RelayNode<'_>],
+        log_level: Option<&str>,
+    ) -> Result<RelayProcess> {
         let mut command = Command::new(std::env::current_exe()?);
-        command.arg(SUBCOMMAND).arg(self.service);
+        command.arg(SUBCOMMAND);
+        if let Some(level) = log_level {
+            command.args(["--log-level", level]);
+        }
+        command.arg(self.service);
         for addr in [self.caller_addr, self.peer_addr, self.backend_addr] {
             command.arg(addr.to_string());
         }
@@ -72,7 +82,8 @@
             command.arg(format!("{}={}", other.service, other.peer_addr));
         }
         // The process ends with its standard input.
-        Ok(RelayProcess(command.stdin(Stdio::piped()).spawn()?))
+        let command = command.stdin(Stdio::piped()).stdout(Stdio::null());
+        Ok(RelayProcess(command.spawn()?))
     }
 }
 
@@ -86,6 +97,7 @@
     clap::Command::new(SUBCOMMAND)
         .about("Carries requests for another process of this program")
         .hide(true)
+        .arg(Arg::new("log-level").long("log-level"))
         .arg(Arg::new("service").required(true))
         .arg(addr("caller"))
         .arg(addr("peer"))
@@ -99,6 +111,8 @@
         let addr = args.get_one::<SocketAddr>(name).copied();
         addr.ok_or_else(|| eyre!("no address {name}"))
     };
+    let level = args.get_one::<String>("log-level");
+    let _log = level.map(|level| open_log(level)).transpose()?;
     let service = args.get_one::<String>("service");
     let service = service.ok_or_else(|| eyre!("no service"))?;
     let cfg = config(service, addr("caller")?, addr("peer")?, addr("backend")?);
--- a/crates/lavenderhatch-relay/src/exchange.rs
+++ b/crates/lavenderhatch-relay/src/exchange.rs
@@ -15,11 +15,14 @@
 mod peer_leg;
 mod peer_port;
 mod pipeline;
+mod port;
+mod request_log;
 
 pub(crate) use backend_leg::BackendLeg;
 pub(crate) use caller_port::CallerPort;
 pub(crate) use origin::Origin;
 pub(crate) use peer_port::PeerPort;
+pub(crate) use port::serve_port;
 
 use lavenderhatch_decide::stable_hash::stable_hash;
 
--- a/crates/lavenderhatch-relay/src/exchange/attempt.rs
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -7,6 +7,8 @@
 use lavenderhatch_core::ErrorKind;
 use lavenderhatch_decide::relay::AttemptEnd;
 
+use super::call::Call;
+
 /// The answer of a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendAnswer {
@@ -67,3 +69,30 @@
 
 /// The end of an attempt.
 pub(crate) type Attempt = Result<BackendAnswer, Failure>;
+
+/// What the decision on the next step needs, and whether a backend server has seen the request.
+pub(super) fn end_of(result: &Attempt) -> (AttemptEnd, bool) {
+    match result {
+        Ok(answer) => {
+            let is_server_error = answer.status.is_server_error();
+            (AttemptEnd::Answered { is_server_error }, true)
+        }
+        Err(failure) => (failure.end(), failure.has_arrived),
+    }
+}
+
+/// Whether a request with this result may have run.
+pub(super) fn may_have_run(result: &Attempt) -> bool {
+    result
+        .as_ref()
+        .err()
+        .is_none_or(|failure| !failure.kind.is_not_run())
+}
+
+/// Whether an attempt that must not wait found no free slot.
+pub(super) fn is_full(call: &Call, result: &Attempt) -> bool {
+    let Err(failure) = result else {
+        return false;
+    };
+    failure.kind == ErrorKind::Overloaded && !failure.has_arrived && !call.may_wait
+}
--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -1,8 +1,6 @@
 //! The port for callers.
 
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,17 +14,17 @@
 use lavenderhatch_core::call::{ERROR_HEADER, OUTCOME_HEADER};
 use lavenderhatch_core::routing::CallerLimits;
 use tokio::net::TcpStream;
-use tokio::time::{interval, timeout};
+use tokio::time::timeout;
 use tracing::debug;
 
 use super::attempt::Failure;
 use super::connection::{Answer, Disconnected, serve_connection};
 use super::origin::{Incoming, Origin, OriginAnswer};
 use super::pipeline::Pipeline;
-use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
+use super::port::Port;
+use crate::board::Board;
+use crate::io::{Ahead, CallerStream, set_keepalive};
 
-/// Time between two sweeps of idle connections.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Least size of the buffer for the head of a request.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -41,52 +39,6 @@
         Rc::new(Self { origin })
     }
 
-    /// Serves connections on this thread until the ports are closed.
-    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
-        let closed = self.origin.board.lifecycle.subscribe();
-        tokio::task::spawn_local(Rc::clone(&self).sweep());
-        accept_loop(listener, closed, move |stream| {
-            Rc::clone(&self).serve_stream(stream)
-        })
-        .await
-    }
-
-    async fn sweep(self: Rc<Self>) {
-        let mut ticks = interval(SWEEP_INTERVAL);
-        loop {
-            ticks.tick().await;
-            self.origin.sweep();
-        }
-    }
-
-    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
-        if let Err(err) = set_keepalive(&stream) {
-            return debug!(error = %err, "caller: cannot set up a connection");
-        }
-        let stream = CallerStream::new(stream);
-        let closed = self.origin.board.lifecycle.subscribe();
-        let pipeline = Rc::new(Pipeline::default());
-        let answer = |req| {
-            let port = Rc::clone(&self);
-            let (stream, pipeline) = (stream.clone(), Rc::clone(&pipeline));
-            async move {
-                tokio::select! {
-                    biased;
-                    res = port.answer(req, &stream, &pipeline) => res,
-                    () = port.look_ahead(&stream, &pipeline) => Err(Disconnected),
-                }
-            }
-        };
-        let limits = self.limits();
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            // Covers the idle time between requests as well as the head of a request.
-            .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
-        serve_connection(&builder, stream.clone(), closed, answer).await;
-    }
-
     fn limits(&self) -> CallerLimits {
         let routing = self.origin.board.routing.load();
         let table = routing.as_ref().as_ref();
@@ -236,6 +188,44 @@
     }
 }
 
+impl Port for CallerPort {
+    fn board(&self) -> &Board {
+        &self.origin.board
+    }
+
+    fn sweep(&self) {
+        self.origin.sweep();
+    }
+
+    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
+        if let Err(err) = set_keepalive(&stream) {
+            return debug!(error = %err, "caller: cannot set up a connection");
+        }
+        let stream = CallerStream::new(stream);
+        let closed = self.origin.board.lifecycle.subscribe();
+        let pipeline = Rc::new(Pipeline::default());
+        let answer = |req| {
+            let port = Rc::clone(&self);
+            let (stream, pipeline) = (stream.clone(), Rc::clone(&pipeline));
+            async move {
+                tokio::select! {
+                    biased;
+                    res = port.answer(req, &stream, &pipeline) => res,
+                    () = port.look_ahead(&stream, &pipeline) => Err(Disconnected),
+                }
+            }
+        };
+        let limits = self.limits();
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            // Covers the idle time between requests as well as the head of a request.
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
+        serve_connection(&builder, stream.clone(), closed, answer).await;
+    }
+}
+
 fn bad_request(reason: &str) -> Failure {
     Failure::not_arrived(ErrorKind::BadRequest, reason)
 }
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -16,18 +16,18 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::time::timeout;
-use tracing::{debug, info};
+use tracing::debug;
 
-use super::attempt::{Attempt, BackendAnswer, Failure};
+use super::attempt::{Attempt, Failure, end_of, is_full, may_have_run};
 use super::backend_leg::BackendLeg;
 use super::call::Call;
 use super::class_of;
 use super::hop_headers::remove_hop_headers;
 use super::peer_leg::PeerLeg;
+use super::request_log::RequestLog;
 use crate::board::{Board, Endpoint};
 use crate::clock::Clock;
 use crate::config::RelayConfig;
-use crate::log_budget::LogBudget;
 use crate::metrics::Metrics;
 
 /// Part of the shared retry ratio that daemons spend. The rest covers calls that repeated requests
@@ -55,7 +55,15 @@
 }
 
 /// The answer to a caller's request.
-pub(crate) type OriginAnswer = Result<BackendAnswer, Failure>;
+pub(crate) type OriginAnswer = Attempt;
+
+/// How far a request has come.
+#[derive(Debug, Default)]
+struct Progress {
+    attempts: Attempts,
+    /// The backend server that was asked last.
+    last: Option<Arc<Endpoint>>,
+}
 
 /// Places requests of the callers of this daemon.
 #[derive(Debug)]
@@ -72,12 +80,13 @@
     service: RefCell<ServiceTimes>,
     spans: RefCell<DeadlineSpans>,
     random: RefCell<Pcg64Mcg>,
-    log_budget: RefCell<LogBudget>,
+    log: RequestLog,
 }
 
 impl Origin {
     pub(crate) fn new(backend: BackendLeg, cfg: &RelayConfig, metrics: Metrics) -> Self {
         let caller_service = HeaderValue::from_str(&cfg.service);
+        let log = RequestLog::new(backend.board.clone(), metrics.clone());
         let ratio = cfg.retry_ratio * RATIO_SHARE;
         Self {
             board: backend.board.clone(),
@@ -90,7 +99,7 @@
             service: RefCell::default(),
             spans: RefCell::default(),
             random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
-            log_budget: RefCell::default(),
+            log,
             cfg: cfg.clone(),
         }
     }
@@ -100,17 +109,21 @@
         let id = incoming.headers.get(&self.cfg.headers.request_id).cloned();
         let (route, mut call) = self.route(incoming).inspect_err(|failure| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
-            self.log_unrouted(id.unwrap_or(""), failure);
+            self.log
+                .unrouted(id.unwrap_or(""), failure, self.clock.now());
         })?;
         self.budget.borrow_mut().deposit();
         let limit = call.time_left(self.clock.now());
-        let mut attempts = Attempts::default();
-        let placed = self.attempt_all(&route, &mut call, &mut attempts);
+        let mut progress = Progress::default();
+        let placed = self.attempt_all(&route, &mut call, &mut progress);
         let result = match timeout(limit, placed).await {
             Ok(result) => result,
-            Err(_) => Err(expired(attempts)),
+            Err(_) => Err(expired(progress.attempts)),
         };
-        self.log(&route, &call, attempts, &result);
+        let last = progress.last.as_deref();
+        let now = self.clock.now();
+        self.log
+            .ended(&route, &call, progress.attempts, last, &result, now);
         result
     }
 
@@ -189,8 +202,12 @@
         &self,
         route: &HostRoute,
         call: &mut Call,
-        attempts: &mut Attempts,
+        progress: &mut Progress,
     ) -> OriginAnswer {
+        let Progress {
+            attempts,
+            last: asked,
+        } = progress;
         let mut tried: Vec<Arc<Endpoint>> = Vec::new();
         // Backend servers that had no slot free. The request may still wait there.
         let mut full: Vec<Arc<Endpoint>> = Vec::new();
@@ -212,6 +229,7 @@
                 return ran.or(last).unwrap_or_else(|| Err(no_backend(call)));
             };
             attempts.placed += 1;
+            *asked = Some(Arc::clone(&endpoint));
             let result = self.attempt(call, &endpoint).await;
             match is_full(call, &result) {
                 true => full.push(endpoint),
@@ -319,58 +337,6 @@
     fn unit(&self) -> f64 {
         self.random() as f64 / u64::MAX as f64
     }
-
-    fn log(&self, route: &HostRoute, call: &Call, attempts: Attempts, result: &OriginAnswer) {
-        let now = self.clock.now();
-        let took = now.since(call.demand.arrived);
-        match result {
-            Ok(answer) => {
-                self.metrics.answered(route.priority, took);
-                debug!(
-                    id = call.id(),
-                    status = answer.status.as_u16(),
-                    "origin: answered"
-                );
-            }
-            Err(failure) => {
-                self.metrics.failed(failure.kind);
-                let Some(dropped) = self.log_budget.borrow_mut().admit(now) else {
-                    return;
-                };
-                info!(
-                    id = call.id(),
-                    route = route.name,
-                    service = call.service,
-                    version = self.version(),
-                    error = failure.kind.as_str(),
-                    reason = failure.reason,
-                    arrived = attempts.arrived,
-                    placed = attempts.placed,
-                    took_ms = took.as_millis() as u64,
-                    lines_dropped = dropped,
-                    "origin: request failed"
-                );
-            }
-        }
-    }
-
-    fn log_unrouted(&self, id: &str, failure: &Failure) {
-        self.metrics.failed(failure.kind);
-        if let Some(dropped) = self.log_budget.borrow_mut().admit(self.clock.now()) {
-            info!(
-                id,
-                error = failure.kind.as_str(),
-                reason = failure.reason,
-                lines_dropped = dropped,
-                "origin: request not routed"
-            );
-        }
-    }
-
-    fn version(&self) -> u64 {
-        let routing = self.board.routing.load();
-        routing.as_ref().as_ref().map_or(0, |table| table.version)
-    }
 }
 
 /// Counts a request at its backend server until dropped.
@@ -394,32 +360,6 @@
     host.and_then(|host| host.to_str().ok()).unwrap_or("")
 }
 
-fn end_of(result: &Attempt) -> (AttemptEnd, bool) {
-    match result {
-        Ok(answer) => {
-            let is_server_error = answer.status.is_server_error();
-            (AttemptEnd::Answered { is_server_error }, true)
-        }
-        Err(failure) => (failure.end(), failure.has_arrived),
-    }
-}
-
-/// Whether an attempt that must not wait found no free slot.
-fn is_full(call: &Call, result: &Attempt) -> bool {
-    let Err(failure) = result else {
-        return false;
-    };
-    failure.kind == ErrorKind::Overloaded && !failure.has_arrived && !call.may_wait
-}
-
-/// Whether a request with this result may have run.
-fn may_have_run(result: &OriginAnswer) -> bool {
-    result
-        .as_ref()
-        .err()
-        .is_none_or(|failure| !failure.kind.is_not_run())
-}
-
 fn no_backend(call: &Call) -> Failure {
     Failure {
         retry_after: NO_BACKEND_ADVICE,
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -1,8 +1,6 @@
 //! The port at which other daemons hand over requests.
 
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -13,7 +11,7 @@
 use hyper_util::rt::TokioTimer;
 use lavenderhatch_core::ErrorKind;
 use tokio::net::TcpStream;
-use tokio::time::{interval, timeout};
+use tokio::time::timeout;
 use tracing::debug;
 
 use super::attempt::{Attempt, Failure};
@@ -22,60 +20,23 @@
 use super::connection::{Answer, Disconnected, serve_connection};
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{HandedOver, read_call, write_failure, write_load, write_service_time};
-use crate::io::{Ahead, CallerStream, accept_loop, set_keepalive};
-
-/// Time between two sweeps of idle connections.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+use super::port::Port;
+use super::request_log::RequestLog;
+use crate::board::Board;
+use crate::io::{Ahead, CallerStream, set_keepalive};
+use crate::metrics::Metrics;
 
 /// Runs requests of other daemons on the backend server beside this one.
 #[derive(Debug)]
 pub(crate) struct PeerPort {
     backend: BackendLeg,
+    log: RequestLog,
 }
 
 impl PeerPort {
-    pub(crate) fn new(backend: BackendLeg) -> Rc<Self> {
-        Rc::new(Self { backend })
-    }
-
-    /// Serves connections on this thread until the ports are closed.
-    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
-        let closed = self.backend.board.lifecycle.subscribe();
-        tokio::task::spawn_local(Rc::clone(&self).sweep());
-        accept_loop(listener, closed, move |stream| {
-            Rc::clone(&self).serve_stream(stream)
-        })
-        .await
-    }
-
-    async fn sweep(self: Rc<Self>) {
-        let mut ticks = interval(SWEEP_INTERVAL);
-        loop {
-            ticks.tick().await;
-            self.backend.sweep();
-        }
-    }
-
-    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
-        if let Err(err) = set_keepalive(&stream) {
-            return debug!(error = %err, "peer: cannot set up a connection");
-        }
-        let stream = CallerStream::new(stream);
-        let closed = self.backend.board.lifecycle.subscribe();
-        let answer = |req| {
-            let port = Rc::clone(&self);
-            let stream = stream.clone();
-            async move {
-                tokio::select! {
-                    biased;
-                    res = port.answer(req) => res,
-                    () = disconnected(&stream) => Err(Disconnected),
-                }
-            }
-        };
-        let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new());
-        serve_connection(&builder, stream.clone(), closed, answer).await;
+    pub(crate) fn new(backend: BackendLeg, metrics: Metrics) -> Rc<Self> {
+        let log = RequestLog::new(backend.board.clone(), metrics);
+        Rc::new(Self { backend, log })
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Answer {
@@ -98,6 +59,8 @@
                 "the deadline passed at the backend server",
             )),
         };
+        let (now, load) = (self.backend.clock.now(), self.backend.gate.load());
+        self.log.handed_over(&call, &attempt, load, now);
         Ok(self.respond(attempt))
     }
 
@@ -147,6 +110,38 @@
     }
 }
 
+impl Port for PeerPort {
+    fn board(&self) -> &Board {
+        &self.backend.board
+    }
+
+    fn sweep(&self) {
+        self.backend.sweep();
+    }
+
+    async fn serve_stream(self: Rc<Self>, stream: TcpStream) {
+        if let Err(err) = set_keepalive(&stream) {
+            return debug!(error = %err, "peer: cannot set up a connection");
+        }
+        let stream = CallerStream::new(stream);
+        let closed = self.backend.board.lifecycle.subscribe();
+        let answer = |req| {
+            let port = Rc::clone(&self);
+            let stream = stream.clone();
+            async move {
+                tokio::select! {
+                    biased;
+                    res = port.answer(req) => res,
+                    () = disconnected(&stream) => Err(Disconnected),
+                }
+            }
+        };
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        serve_connection(&builder, stream.clone(), closed, answer).await;
+    }
+}
+
 /// Completes when the other daemon has closed the connection. Daemons send one request at a time.
 async fn disconnected(stream: &CallerStream) {
     while let Ahead::Request(_) = stream.ahead().await {}
--- /dev/null
+++ b/crates/lavenderhatch-relay/src/exchange/port.rs
@@ -0,0 +1,46 @@
+//! What the ports for callers and for other daemons share.
+
+use std::future::Future;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::interval;
+
+use crate::board::Board;
+use crate::io::accept_loop;
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A port whose connections are served on one thread.
+pub(crate) trait Port: Sized + 'static {
+    /// The blackboard that the port reads.
+    fn board(&self) -> &Board;
+
+    /// Closes connections that have been idle for too long.
+    fn sweep(&self);
+
+    /// Serves a connection until it ends.
+    fn serve_stream(self: Rc<Self>, stream: TcpStream) -> impl Future<Output = ()> + 'static;
+}
+
+/// Serves connections on this thread until the ports are closed.
+pub(crate) async fn serve_port<P: Port>(port: Rc<P>, listener: TcpListener) -> io::Result<()> {
+    let closed = port.board().lifecycle.subscribe();
+    tokio::task::spawn_local(sweep(Rc::clone(&port)));
+    accept_loop(listener, closed, move |stream| {
+        Rc::clone(&port).serve_stream(stream)
+    })
+    .await
+}
+
+async fn sweep<P: Port>(port: Rc<P>) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        port.sweep();
+    }
+}
--- a/crates/lavenderhatch-relay/src/lifecycle.rs
+++ b/crates/lavenderhatch-relay/src/lifecycle.rs
@@ -64,11 +64,6 @@
         self.ports_closed.send_replace(true);
     }
 
-    /// Whether the ports are closed.
-    pub fn are_ports_closed(&self) -> bool {
-        *self.ports_closed.borrow()
-    }
-
     /// Tells when the ports are closed.
     pub fn subscribe(&self) -> watch::Receiver<bool> {
         self.ports_closed.subscribe()
--- a/crates/lavenderhatch-relay/src/log_budget.rs
+++ b/crates/lavenderhatch-relay/src/log_budget.rs
@@ -2,12 +2,12 @@
 
 use lavenderhatch_core::Timestamp;
 
-/// Lines about failed requests that a daemon writes in a second.
+/// Lines of one sort that a port writes in a second.
 const LINES_PER_S: f64 = 50.0;
 /// Lines that may follow each other at once.
 const BURST: f64 = 100.0;
 
-/// A token bucket for lines about failed requests. Others are counted.
+/// A token bucket for lines about requests. Those beyond it are counted.
 #[derive(Debug)]
 pub(crate) struct LogBudget {
     /// Invariant: at most [`BURST`].
--- a/crates/lavenderhatch-relay/src/relay.rs
+++ b/crates/lavenderhatch-relay/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::board::Board;
 use crate::clock::Clock;
 use crate::config::RelayConfig;
-use crate::exchange::{BackendLeg, CallerPort, Origin, PeerPort};
+use crate::exchange::{BackendLeg, CallerPort, Origin, PeerPort, serve_port};
 use crate::gate::Gate;
 use crate::io::bind;
 use crate::metrics::Metrics;
@@ -49,11 +49,14 @@
             move || BackendLeg::new(board.clone(), Arc::clone(&gate), clock, &cfg)
         };
         let for_callers = backend_leg.clone();
+        let of_peers = metrics.clone();
         spawn_loop("callers", move || {
             let origin = Origin::new(for_callers(), &cfg, metrics);
-            CallerPort::new(origin).serve(callers)
+            serve_port(CallerPort::new(origin), callers)
+        })?;
+        spawn_loop("peers", move || {
+            serve_port(PeerPort::new(backend_leg(), of_peers), peers)
         })?;
-        spawn_loop("peers", move || PeerPort::new(backend_leg()).serve(peers))?;
         Ok(relay)
     }
 
