Count the way to a backend server when one is chosen

Change: an answer of another daemon tells how long the request was there; what the attempt took beyond that is the delay of the endpoint, a mean that halves in 2 s without requests. An attempt that is given up counts with the time it took. The cost of a backend server contains the delay.

The model has the pattern (slow daemons).

--- a/crates/lavenderhatch-bench/src/bin/relay_load/pattern.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/pattern.rs
@@ -105,6 +105,9 @@
     },
 ];
 
+/// Time that a slow daemon adds to a request and to its answer, in milliseconds.
+pub(crate) const LATE_MS: u64 = 150;
+
 /// A load over time on a fleet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pattern {
@@ -117,6 +120,8 @@
     pub(crate) burst: Option<(usize, f64)>,
     /// Share of the backend servers that are four times slower in the middle third.
     pub(crate) slowed: f64,
+    /// Share of the machines whose daemons take [`LATE_MS`] longer in the middle third.
+    pub(crate) late: f64,
     /// Share of the backend servers that take nothing in the middle third.
     pub(crate) lost: f64,
     /// Times that a caller comes back after a refusal.
@@ -130,12 +135,13 @@
         load: 0.75,
         burst: None,
         slowed: 0.0,
+        late: 0.0,
         lost: 0.0,
         returns: 1,
     };
 
     /// All patterns.
-    pub(crate) const ALL: [Self; 7] = [
+    pub(crate) const ALL: [Self; 8] = [
         Self::QUIET,
         Self {
             name: "few machines, busy",
@@ -165,6 +171,12 @@
             slowed: 0.2,
             ..Self::QUIET
         },
+        Self {
+            name: "slow daemons",
+            load: 1.0,
+            late: 0.2,
+            ..Self::QUIET
+        },
         Self {
             name: "half of the servers lost",
             load: 1.0,
--- a/crates/lavenderhatch-bench/src/bin/relay_load/policy.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/policy.rs
@@ -32,6 +32,8 @@
     pub(crate) looks: bool,
     /// Whether an answer tells the mean service time of its kind, and not only its own.
     pub(crate) tells_means: bool,
+    /// Whether the time of an attempt beyond its time at the daemon counts.
+    pub(crate) sees_delays: bool,
     /// Whether the target counts from the caller's first attempt.
     pub(crate) counts_first_attempts: bool,
 }
@@ -44,11 +46,12 @@
         waiting: Waiting::ByRank,
         looks: true,
         tells_means: true,
+        sees_delays: true,
         counts_first_attempts: true,
     };
 
     /// All that are compared, the present one last.
-    pub(crate) const ALL: [Self; 8] = [
+    pub(crate) const ALL: [Self; 9] = [
         Self {
             name: "random, in order",
             placing: Placing::Random,
@@ -86,6 +89,11 @@
             tells_means: false,
             ..Self::PRESENT
         },
+        Self {
+            name: "blind to delays",
+            sees_delays: false,
+            ..Self::PRESENT
+        },
         Self {
             name: "last attempt only",
             counts_first_attempts: false,
--- a/crates/lavenderhatch-bench/src/bin/relay_load/request.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/request.rs
@@ -35,6 +35,8 @@
     pub(crate) full: Vec<usize>,
     pub(crate) may_wait: bool,
     pub(crate) server: usize,
+    /// When it was sent there, in milliseconds.
+    pub(crate) placed_at: u64,
     pub(crate) stage: Stage,
     pub(crate) started: u64,
     pub(crate) calls_left: u32,
--- a/crates/lavenderhatch-bench/src/bin/relay_load/world.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/world.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::outcome::Outcome;
-use crate::pattern::{CALL, KINDS, Pattern, Service};
+use crate::pattern::{CALL, KINDS, LATE_MS, Pattern, Service};
 use crate::policy::{Placing, Policy, Waiting};
 use crate::request::{Request, Stage};
 use crate::server::{Admission, SLOTS, Server};
@@ -232,6 +232,7 @@
             full: Vec::new(),
             may_wait: true,
             server: 0,
+            placed_at: 0,
             stage: Stage::Underway,
             started: 0,
             calls_left: spec.calls,
@@ -265,6 +266,7 @@
         req.attempts.placed += 1;
         req.server = server;
         req.stage = Stage::Underway;
+        req.placed_at = self.now;
         self.daemons[req.daemon].stats[server].begin();
         let delay = self.delay(self.requests[request].daemon, server);
         self.schedule(delay, Event::Reach(request));
@@ -294,6 +296,11 @@
             }
             Placing::ByCost => {
                 let zone = req.daemon % ZONES;
+                let service = daemon.service.of(req.demand.class).as_secs_f64();
+                let delay = |at: usize| match self.policy.sees_delays && service > 0.0 {
+                    true => daemon.stats[at].delay(now).as_secs_f64() / service,
+                    false => 0.0,
+                };
                 let candidate = |at: &usize| Candidate {
                     load: match *at == req.daemon {
                         true => self.servers[*at].load(),
@@ -301,12 +308,12 @@
                     },
                     slots: SLOTS,
                     slowness: daemon.stats[*at].slowness(),
+                    delay: delay(*at),
                     failures: daemon.stats[*at].failures(now),
                     is_near: self.servers[*at].zone == zone,
                     is_open: true,
                 };
                 let candidates: Vec<Candidate> = open.iter().map(candidate).collect();
-                let service = daemon.service.of(req.demand.class).as_secs_f64();
                 let target = req.demand.target_at.since(now).as_secs_f64();
                 let random = &mut self.random;
                 place(&candidates, service / target, || random.next_u64()).map(|at| open[at])
@@ -315,7 +322,11 @@
     }
 
     fn delay(&self, daemon: usize, server: usize) -> u64 {
-        match (
+        let late = match self.is_among(server, self.pattern.late) {
+            true if daemon != server => LATE_MS,
+            _ => 0,
+        };
+        late + match (
             daemon == server,
             self.servers[server].zone == daemon % ZONES,
         ) {
@@ -447,10 +458,13 @@
     }
 
     fn learn(&mut self, request: usize, end: End) {
-        let req = &mut self.requests[request];
+        let req = &self.requests[request];
         if req.stage == Stage::Done {
             return;
         }
+        let (daemon, server) = (req.daemon, req.server);
+        let transit = self.delay(daemon, server);
+        let req = &mut self.requests[request];
         let now = Timestamp(self.now);
         let daemon = &mut self.daemons[req.daemon];
         let stats = &daemon.stats[req.server];
@@ -460,6 +474,8 @@
             End::Ran { took, mean, load } => {
                 stats.report(load, now);
                 stats.record_result(false, now);
+                // One way there and one back.
+                stats.record_delay(Duration::from_millis(2 * transit), now);
                 daemon
                     .service
                     .record(req.demand.class, Duration::from_micros(took));
@@ -590,7 +606,11 @@
             return;
         }
         let (daemon, server, parent, call) = (req.daemon, req.server, req.parent, req.call.take());
-        self.daemons[daemon].stats[server].end();
+        let waited = Duration::from_millis(self.now - req.placed_at);
+        let now = Timestamp(self.now);
+        let stats = &self.daemons[daemon].stats[server];
+        stats.end();
+        stats.record_delay(waited, now);
         match stage {
             Stage::Running => {
                 self.servers[server].leave();
--- a/crates/lavenderhatch-decide/src/relay/place.rs
+++ b/crates/lavenderhatch-decide/src/relay/place.rs
@@ -29,6 +29,9 @@
     pub slots: u32,
     /// Its service time over the mean of its service.
     pub slowness: f64,
+    /// Time that attempts take beyond their time at the daemon there, in mean service times. It tells of
+    /// a slow daemon or a busy link, which the service time does not show.
+    pub delay: f64,
     /// Share of the requests that it has failed lately, 0 to 1.
     pub failures: f64,
     /// Whether it is in the zone of this daemon.
@@ -43,7 +46,7 @@
     fn is_preferred(&self, service_share: f64) -> bool {
         let used = f64::from(self.load + 1) / f64::from(self.slots.max(1));
         let is_sound = self.failures < MAX_PREFERRED_FAILURES;
-        let is_fast = service_share * self.slowness <= NEAR_TARGET_SHARE;
+        let is_fast = service_share * (self.slowness + self.delay) <= NEAR_TARGET_SHARE;
         self.is_open && self.is_near && used <= NEAR_LEVEL && is_sound && is_fast
     }
 
@@ -54,7 +57,8 @@
         let queue = 0.5 * used.min(1.0) + (used - 1.0).max(0.0) * 2.0;
         let success = (1.0 - self.failures).max(MIN_SUCCESS);
         let distance = if self.is_near { 1.0 } else { FAR_FACTOR };
-        self.slowness * (1.0 + queue) * distance / success.powi(FAILURE_EXPONENT)
+        let time = self.slowness * (1.0 + queue) + self.delay;
+        time * distance / success.powi(FAILURE_EXPONENT)
     }
 }
 
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/place.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/place.rs
@@ -7,6 +7,7 @@
     load: 0,
     slots: 12,
     slowness: 1.0,
+    delay: 0.0,
     failures: 0.0,
     is_near: true,
     is_open: true,
@@ -23,6 +24,7 @@
 #[case::slower(Candidate { slowness: 1.6, ..IDLE }, 0)]
 #[case::nearly_full(Candidate { load: 11, slowness: 1.6, ..IDLE }, 1)]
 #[case::too_slow(Candidate { slowness: 4.0, ..IDLE }, 1)]
+#[case::delayed(Candidate { delay: 3.0, ..IDLE }, 1)]
 #[case::failing(Candidate { failures: 0.5, ..IDLE }, 1)]
 #[case::closed(Candidate { is_open: false, ..IDLE }, 1)]
 fn the_own_zone_is_preferred_while_it_has_time_to_spare(
@@ -41,6 +43,7 @@
 #[rstest]
 #[case::full(Candidate { load: 14, ..IDLE }, Candidate { is_near: false, ..IDLE })]
 #[case::slow(Candidate { slowness: 4.0, ..IDLE }, Candidate { is_near: false, ..IDLE })]
+#[case::behind_a_slow_daemon(Candidate { delay: 2.0, ..IDLE }, Candidate { is_near: false, slowness: 1.6, ..IDLE })]
 #[case::failing(Candidate { failures: 0.5, ..IDLE }, Candidate { load: 11, ..IDLE })]
 #[case::far(Candidate { is_near: false, ..IDLE }, IDLE)]
 #[case::closed(Candidate { is_open: false, ..IDLE }, Candidate { load: 50, failures: 1.0, ..IDLE })]
--- a/crates/lavenderhatch-relay/src/board/endpoint.rs
+++ b/crates/lavenderhatch-relay/src/board/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_decide::relay::Candidate;
@@ -29,11 +30,22 @@
 
 impl Endpoint {
     /// What the choice of a backend server needs for a request of this rank.
-    pub fn candidate(&self, zone: &str, priority: u8, now: Timestamp) -> Candidate {
+    /// `service` is the mean service time of its kind.
+    pub fn candidate(
+        &self,
+        zone: &str,
+        priority: u8,
+        service: Duration,
+        now: Timestamp,
+    ) -> Candidate {
         Candidate {
             load: self.stats.load(now),
             slots: self.slots,
             slowness: self.stats.slowness(),
+            delay: match service.is_zero() {
+                true => 0.0,
+                false => self.stats.delay(now).as_secs_f64() / service.as_secs_f64(),
+            },
             failures: self.stats.failures(now),
             is_near: self.zone == zone,
             is_open: self.stats.is_open(priority, now),
--- a/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/src/board/endpoint_stats.rs
@@ -16,6 +16,10 @@
 /// Slowness is kept within this factor of the mean, so that a few long requests do not shut out a
 /// backend server.
 const MAX_SLOWNESS: f64 = 8.0;
+/// Weight of one attempt in the delay.
+const DELAY_WEIGHT: f64 = 0.3;
+/// Time in which the delay halves while no request is sent, in milliseconds.
+const DELAY_HALF_LIFE_MS: f64 = 2000.0;
 /// Ranks that are told apart.
 const RANKS: usize = 8;
 /// First time for which a daemon is left alone that cannot be reached. Doubles with each failure.
@@ -39,6 +43,9 @@
     /// Bits of an `f64`.
     failures: AtomicU64,
     failures_at: AtomicU64,
+    /// Bits of an `f64`, in milliseconds.
+    delay: AtomicU64,
+    delay_at: AtomicU64,
     /// By rank. Ranks beyond the last one share its entry.
     closed_until: [AtomicU64; RANKS],
     /// Connections in a row that could not be made.
@@ -54,6 +61,8 @@
             slowness: AtomicU64::new(1f64.to_bits()),
             failures: AtomicU64::new(0f64.to_bits()),
             failures_at: AtomicU64::new(0),
+            delay: AtomicU64::new(0f64.to_bits()),
+            delay_at: AtomicU64::new(0),
             closed_until: Default::default(),
             unreachable: AtomicU32::new(0),
         }
@@ -120,6 +129,23 @@
         f64::from_bits(self.slowness.load(Relaxed))
     }
 
+    /// Takes in the time that an attempt took beyond its time at the daemon beside the backend server. A
+    /// busy link and a daemon that is slow to read show here and not in the service time.
+    pub fn record_delay(&self, took: Duration, now: Timestamp) {
+        let before = self.delay(now).as_secs_f64() * 1000.0;
+        let after = before + (took.as_secs_f64() * 1000.0 - before) * DELAY_WEIGHT;
+        self.delay.store(after.to_bits(), Relaxed);
+        self.delay_at.store(now.0, Relaxed);
+    }
+
+    /// Time that attempts have taken lately beyond their time at the daemon.
+    pub fn delay(&self, now: Timestamp) -> Duration {
+        let age = now.since(Timestamp(self.delay_at.load(Relaxed)));
+        let halvings = age.as_millis() as f64 / DELAY_HALF_LIFE_MS;
+        let ms = f64::from_bits(self.delay.load(Relaxed)) * 0.5f64.powf(halvings);
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+
     /// Leaves it alone until `until`.
     pub fn close(&self, until: Timestamp) {
         self.close_for(0, until);
--- a/crates/lavenderhatch-relay/src/exchange/attempt.rs
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -22,6 +22,8 @@
     pub(crate) service: Duration,
     /// Mean of such times for requests of its kind at this backend server.
     pub(crate) mean_service: Duration,
+    /// Time that the attempt took beyond what the daemon beside the backend server saw of it.
+    pub(crate) transit: Duration,
 }
 
 /// Why an attempt has no answer of a backend server.
--- a/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/backend_leg.rs
@@ -180,6 +180,7 @@
             body,
             service: held.took,
             mean_service: held.mean,
+            transit: Duration::ZERO,
         })
     }
 }
--- a/crates/lavenderhatch-relay/src/exchange/origin.rs
+++ b/crates/lavenderhatch-relay/src/exchange/origin.rs
@@ -265,11 +265,17 @@
     }
 
     async fn attempt(&self, call: &Call, endpoint: &Endpoint) -> Attempt {
-        let counted = Counted::begin(endpoint);
+        let mut counted = Counted::begin(endpoint, self.clock);
         let result = match endpoint.is_local {
             true => self.backend.run(call).await,
             false => self.peers.run(call, endpoint).await,
         };
+        counted.is_finished = true;
+        if let Ok(answer) = &result {
+            endpoint
+                .stats
+                .record_delay(answer.transit, self.clock.now());
+        }
         drop(counted);
         self.learn(call, endpoint, &result);
         result
@@ -310,9 +316,10 @@
         let now = self.clock.now();
         let view = self.board.endpoints.load();
         let endpoints = view.of(&call.service);
+        let service = self.service.borrow().of(call.demand.class);
         let candidate = |endpoint: &Arc<Endpoint>| {
             let is_tried = tried.clone().any(|tried| Arc::ptr_eq(tried, endpoint));
-            let candidate = endpoint.candidate(&self.cfg.zone, call.demand.priority, now);
+            let candidate = endpoint.candidate(&self.cfg.zone, call.demand.priority, service, now);
             let load = match endpoint.is_local {
                 true => self.backend.gate.load(),
                 false => candidate.load,
@@ -324,7 +331,7 @@
             }
         };
         let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
-        let service = self.service.borrow().of(call.demand.class).as_secs_f64();
+        let service = service.as_secs_f64();
         let target = call.demand.target_at.since(now).as_secs_f64();
         let at = place(&candidates, service / target, || self.random())?;
         Some(Arc::clone(&endpoints[at]))
@@ -340,18 +347,37 @@
 }
 
 /// Counts a request at its backend server until dropped.
-struct Counted<'a>(&'a Endpoint);
+struct Counted<'a> {
+    endpoint: &'a Endpoint,
+    clock: Clock,
+    since: Timestamp,
+    /// Whether the attempt has ended. One that is given up tells at least how long it took.
+    is_finished: bool,
+}
 
 impl<'a> Counted<'a> {
-    fn begin(endpoint: &'a Endpoint) -> Self {
+    fn begin(endpoint: &'a Endpoint, clock: Clock) -> Self {
         endpoint.stats.begin();
-        Self(endpoint)
+        Self {
+            endpoint,
+            clock,
+            since: clock.now(),
+            is_finished: false,
+        }
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.clock.now().since(self.since)
     }
 }
 
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.0.stats.end();
+        self.endpoint.stats.end();
+        if !self.is_finished {
+            let now = self.clock.now();
+            self.endpoint.stats.record_delay(self.elapsed(), now);
+        }
     }
 }
 
--- a/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -29,6 +29,8 @@
 
 /// Mean of such times for requests of the same kind at the backend server, in microseconds.
 const MEAN_SERVICE_TIME: &str = "lavenderhatch-mean-service-us";
+/// Time that the request spent at the daemon beside the backend server, in microseconds.
+const AT_DAEMON: &str = "lavenderhatch-at-daemon-us";
 /// Whether the request waits if no slot is free.
 const MAY_WAIT: &str = "lavenderhatch-may-wait";
 
@@ -85,18 +87,37 @@
     read(headers, LOAD)
 }
 
-/// Adds the service time to an answer, and the mean of its kind.
-pub(super) fn write_service_time(headers: &mut HeaderMap, took: Duration, mean: Duration) {
-    insert(headers, SERVICE_TIME, &took.as_micros().to_string());
-    insert(headers, MEAN_SERVICE_TIME, &mean.as_micros().to_string());
+/// Times that an answer of a backend server tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct AnswerTimes {
+    /// Service time.
+    pub(super) service: Duration,
+    /// Mean service time of the kind of request there.
+    pub(super) mean_service: Duration,
+    /// At the daemon beside the backend server, from the head of the request to the answer.
+    pub(super) at_daemon: Duration,
 }
 
-/// The service time of an answer of a backend server, and the mean of its kind. `None` if no backend
-/// server has answered.
-pub(super) fn read_service_time(headers: &HeaderMap) -> Option<(Duration, Duration)> {
-    let took = read(headers, SERVICE_TIME).map(Duration::from_micros)?;
-    let mean = read(headers, MEAN_SERVICE_TIME).map(Duration::from_micros);
-    Some((took, mean.unwrap_or(took)))
+/// Adds times to an answer.
+pub(super) fn write_times(headers: &mut HeaderMap, times: &AnswerTimes) {
+    let entries = [
+        (SERVICE_TIME, times.service),
+        (MEAN_SERVICE_TIME, times.mean_service),
+        (AT_DAEMON, times.at_daemon),
+    ];
+    for (name, time) in entries {
+        insert(headers, name, &time.as_micros().to_string());
+    }
+}
+
+/// The times of an answer of a backend server. `None` if no backend server has answered.
+pub(super) fn read_times(headers: &HeaderMap) -> Option<AnswerTimes> {
+    let time = |name| read(headers, name).map(Duration::from_micros);
+    Some(AnswerTimes {
+        service: time(SERVICE_TIME)?,
+        mean_service: time(MEAN_SERVICE_TIME)?,
+        at_daemon: time(AT_DAEMON)?,
+    })
 }
 
 /// Adds a failure to an answer.
--- a/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_leg.rs
@@ -10,7 +10,7 @@
 use super::attempt::{Attempt, BackendAnswer, Failure};
 use super::call::Call;
 use super::hop_headers::remove_hop_headers;
-use super::peer_headers::{read_failure, read_load, read_service_time, write_call};
+use super::peer_headers::{read_failure, read_load, read_times, write_call};
 use crate::board::Endpoint;
 use crate::clock::Clock;
 use crate::io::{ClientError, ClientPool, ClientTimeouts};
@@ -42,6 +42,7 @@
     /// Hands over a request and reads its answer. Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call, endpoint: &Endpoint) -> Attempt {
         let req = self.request(call);
+        let start = self.clock.now();
         let answered = self
             .pool
             .exchange(endpoint.addr, req, IDLE_LIMIT, MAX_ANSWER_BYTES);
@@ -52,7 +53,7 @@
         if let Some(load) = read_load(&parts.headers) {
             endpoint.stats.report(load, self.clock.now());
         }
-        let Some((service, mean_service)) = read_service_time(&parts.headers) else {
+        let Some(times) = read_times(&parts.headers) else {
             return Err(read_failure(&parts.headers, &body));
         };
         remove_hop_headers(&mut parts.headers);
@@ -60,8 +61,13 @@
             status: parts.status,
             headers: parts.headers,
             body,
-            service,
-            mean_service,
+            service: times.service,
+            mean_service: times.mean_service,
+            transit: self
+                .clock
+                .now()
+                .since(start)
+                .saturating_sub(times.at_daemon),
         })
     }
 
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -9,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
-use lavenderhatch_core::ErrorKind;
+use lavenderhatch_core::{ErrorKind, Timestamp};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tracing::debug;
@@ -19,7 +19,9 @@
 use super::call::Call;
 use super::connection::{Answer, Disconnected, serve_connection};
 use super::hop_headers::remove_hop_headers;
-use super::peer_headers::{HandedOver, read_call, write_failure, write_load, write_service_time};
+use super::peer_headers::{
+    AnswerTimes, HandedOver, read_call, write_failure, write_load, write_times,
+};
 use super::port::Port;
 use super::request_log::RequestLog;
 use crate::board::Board;
@@ -61,7 +63,7 @@
         };
         let (now, load) = (self.backend.clock.now(), self.backend.gate.load());
         self.log.handed_over(&call, &attempt, load, now);
-        Ok(self.respond(attempt))
+        Ok(self.respond_since(call.demand.arrived, attempt))
     }
 
     async fn read(
@@ -89,12 +91,22 @@
     }
 
     fn respond(&self, attempt: Attempt) -> Response<Full<Bytes>> {
+        self.respond_since(self.backend.clock.now(), attempt)
+    }
+
+    /// The answer to a request that has come at `arrived`.
+    fn respond_since(&self, arrived: Timestamp, attempt: Attempt) -> Response<Full<Bytes>> {
         let mut res = match attempt {
             Ok(answer) => {
                 let mut res = Response::new(Full::new(answer.body));
                 *res.status_mut() = answer.status;
                 *res.headers_mut() = answer.headers;
-                write_service_time(res.headers_mut(), answer.service, answer.mean_service);
+                let times = AnswerTimes {
+                    service: answer.service,
+                    mean_service: answer.mean_service,
+                    at_daemon: self.backend.clock.now().since(arrived),
+                };
+                write_times(res.headers_mut(), &times);
                 res
             }
             Err(failure) => {
--- /dev/null
+++ b/crates/lavenderhatch-relay/tests/testsuite/endpoint_stats.rs
@@ -0,0 +1,29 @@
+//! What a daemon remembers of a backend server.
+
+use std::time::Duration;
+
+use lavenderhatch_core::Timestamp;
+use lavenderhatch_relay::EndpointStats;
+
+const NOW: Timestamp = Timestamp(10_000);
+
+/// Guards against a slow daemon that keeps its share of the requests, and against one that is avoided
+/// for good after it has recovered.
+#[test]
+fn a_delay_is_learnt_from_few_attempts_and_fades() {
+    let stats = EndpointStats::default();
+    (0..3).for_each(|_| stats.record_delay(Duration::from_millis(300), NOW));
+    let learnt = stats.delay(NOW);
+    assert!(learnt > Duration::from_millis(150), "{learnt:?}");
+    assert!(stats.delay(NOW + Duration::from_secs(10)) < learnt / 20);
+}
+
+/// Guards against a speed that is only known after many requests to the same backend server: an answer
+/// tells a mean over many.
+#[test]
+fn a_speed_is_learnt_from_few_answers() {
+    let stats = EndpointStats::default();
+    let overall = Duration::from_millis(100);
+    (0..4).for_each(|_| stats.record_speed(Duration::from_millis(400), overall));
+    assert!(stats.slowness() > 3.0, "{}", stats.slowness());
+}
--- a/crates/lavenderhatch-relay/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod cancel;
+mod endpoint_stats;
 mod leaving;
 mod limits;
 mod pipeline;
