Give daemons of the tests addresses that nothing else takes

Cause: a free port was asked for, released and bound again by a daemon; another test could take it in between, or an outgoing connection while a daemon was started anew (seen in the soak: "Address already in use" at the start of two runs).

--- a/crates/lavenderhatch-relay/tests/testsuite/support.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support.rs
@@ -8,13 +8,17 @@
 pub(crate) use caller::{Caller, request};
 pub(crate) use mesh::{Mesh, RouteSpec};
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
+
+use lavenderhatch_standin::next_loopback_ip;
 
 /// Longest time that a test waits for something that must happen.
 pub(crate) const PATIENCE: std::time::Duration = std::time::Duration::from_secs(10);
 
-/// An address on loopback that nobody uses.
+/// Port of each daemon; they differ by address.
+const PORT: u16 = 7000;
+
+/// An address on loopback that nobody uses, also not while a daemon starts anew.
 pub(crate) fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    (next_loopback_ip(), PORT).into()
 }
