Keep the departure of a backend server that is not known yet

Cause: a daemon that was started anew while the store did not answer acknowledged the departure of its backend server and dropped it, since it had no report to compare it with. A delayed report then made the backend server ready again.

Ruled out: a write of the record that came too late (the store reset all connections of the machine until 26 s).

Change: BackendState::departure makes a report of any departure that tells its incarnation; reports of that incarnation that come later are out of date.

--- a/crates/lavenderhatch-decide/src/relay/backend_state.rs
+++ b/crates/lavenderhatch-decide/src/relay/backend_state.rs
@@ -78,6 +78,23 @@
         }
     }
 
+    /// The report that a departure amounts to; `None` if it does not tell which incarnation leaves.
+    ///
+    /// A daemon that was started anew may not know whom it lets go. It keeps the departure all the
+    /// same: it acknowledges it, and a report that was sent before may still be on its way.
+    pub fn departure(&self, id: &str, born: Option<u64>) -> Option<BackendReport> {
+        let last = self.last.as_ref();
+        let known = last.filter(|last| last.id == id && born.is_none_or(|born| born == last.born));
+        let (sequence, slots) = known.map_or((0, 0), |known| (known.sequence, known.slots));
+        Some(BackendReport {
+            id: id.to_owned(),
+            born: born.or(known.map(|known| known.born))?,
+            sequence,
+            slots,
+            phase: BackendPhase::Gone,
+        })
+    }
+
     /// Takes over what an earlier process of this daemon has recorded. Does not count as a sign of
     /// life: the backend server is used once it reports again.
     pub fn restore(&mut self, recorded: &BackendReport) {
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/backend_state.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/backend_state.rs
@@ -95,3 +95,28 @@
     state.restore(&report("a", 5, 3, Gone));
     assert!(state.serving(LAPSE, NOW).is_some());
 }
+
+/// Guards against a late report that brings back a backend server whose departure a daemon has
+/// acknowledged without knowing it, as one that was just started.
+#[rstest]
+#[case::unknown(&[])]
+#[case::earlier_incarnation(&[report("a", 4, 9, Ready)])]
+#[case::known(&[report("a", 5, 1, Ready)])]
+fn a_departure_binds_whoever_is_known(#[case] before: &[BackendReport]) {
+    let mut state = heard(before);
+    let departure = state.departure("a", Some(5)).unwrap();
+    assert_eq!(state.hear(&departure, NOW), Heard::Changed);
+    assert_eq!(state.hear(&report("a", 5, 7, Ready), NOW), Heard::OutOfDate);
+    assert!(state.serving(LAPSE, NOW).is_none());
+    assert_eq!(state.hear(&report("a", 6, 1, Ready), NOW), Heard::Changed);
+}
+
+/// Guards against the departure of an incarnation that has long been replaced.
+#[test]
+fn a_late_departure_changes_nothing() {
+    let mut state = heard(&[report("a", 5, 2, Ready)]);
+    let departure = state.departure("a", Some(4)).unwrap();
+    assert_eq!(state.hear(&departure, NOW), Heard::OutOfDate);
+    assert!(state.serving(LAPSE, NOW).is_some());
+    assert_eq!(state.departure("b", None), None);
+}
