See callers that have left before their requests are sent on

Cause: with too little processor time the event loop is late, and a request was placed before the end of its connection was looked at.

Change: the socket itself is asked each time the request goes on, before the request does.

A test of ranks hung for ever when its check failed, since its callers were not told to end; they are now.

--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -209,9 +209,11 @@
             let (stream, pipeline) = (stream.clone(), Rc::clone(&pipeline));
             async move {
                 tokio::select! {
+                    // A caller that has left is seen before its request is sent on, also when this
+                    // thread is late.
                     biased;
-                    res = port.answer(req, &stream, &pipeline) => res,
                     () = port.look_ahead(&stream, &pipeline) => Err(Disconnected),
+                    res = port.answer(req, &stream, &pipeline) => res,
                 }
             }
         };
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -142,9 +142,10 @@
             let stream = stream.clone();
             async move {
                 tokio::select! {
+                    // A daemon that has given the request up is seen before it is sent on.
                     biased;
-                    res = port.answer(req) => res,
                     () = disconnected(&stream) => Err(Disconnected),
+                    res = port.answer(req) => res,
                 }
             }
         };
--- a/crates/lavenderhatch-relay/src/io/caller_stream.rs
+++ b/crates/lavenderhatch-relay/src/io/caller_stream.rs
@@ -3,11 +3,13 @@
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -106,8 +108,16 @@
         }
     }
 
+    /// Whether the other side has closed the connection and nothing is left to read.
+    fn has_ended(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(0))
+    }
+
     /// Looks behind the request in progress.
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<Ahead> {
+        // The event loop may be late to tell of the end of the connection.
+        self.is_closed |= self.has_ended();
         loop {
             if self.is_closed {
                 return Poll::Ready(Ahead::Closed);
--- a/tests/testsuite/ranks.rs
+++ b/tests/testsuite/ranks.rs
@@ -41,11 +41,22 @@
     cluster
 }
 
+/// Sets a flag when dropped.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs `check` while callers of the least urgent rank keep the queue of node 1 full.
 fn during_flood(cluster: &Cluster, entry: usize, check: impl FnOnce()) {
     let is_over = AtomicBool::new(false);
     let url = format!("http://{}/archive", cluster.nodes[entry].caller_addr);
     thread::scope(|scope| {
+        // The callers must end also if the check fails, or the scope waits for them for ever.
+        let _over = SetOnDrop(&is_over);
         for _ in 0..FLOOD {
             scope.spawn(|| {
                 while !is_over.load(Ordering::Relaxed) {
@@ -59,7 +70,6 @@
             (queued > FLOOD as u64 / 2).then_some(())
         });
         check();
-        is_over.store(true, Ordering::Relaxed);
     });
 }
 
