Repeat a listing of the store that gets no response

Cause: a listing had one call at a time, with a timeout of 3 s. A call that the store had ignored, or that was sent on a connection that had fallen silent, kept the next one from starting for 3 s, although the store answered new calls by then. The stable window is 3 s too, so a daemon counted as in touch while it still held the old version.

A listing is now repeated on a new connection after a quarter of the apply deadline without progress. Earlier calls stay open, so a store that is only slow still answers, and no call starts while a response arrives.

Ruled out: a shorter timeout alone. It would give up on a store whose answers are slow but come.

--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod distribution;
 mod endpoints;
 mod explain;
+mod hedged_read;
 mod limit;
 mod member_fixture;
 mod membership;
--- a/crates/lavenderhatch-relay/src/io/client_conn.rs
+++ b/crates/lavenderhatch-relay/src/io/client_conn.rs
@@ -73,15 +73,18 @@
         }
     }
 
-    /// Reads the whole body of an answer, of at most `limit` bytes.
+    /// Reads the whole body of an answer, of at most `limit` bytes. Calls `on_progress` for each
+    /// part that arrives.
     pub async fn read_body(
         res: Response<Incoming>,
         limit: usize,
+        on_progress: impl Fn(),
     ) -> Result<(Parts, Bytes), ClientError> {
         let (parts, mut body) = res.into_parts();
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(ClientError::Exchange)?;
+            on_progress();
             let Some(data) = frame.data_ref() else {
                 continue;
             };
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -48,16 +48,32 @@
         req: OutgoingRequest,
         max_idle: Duration,
         max_bytes: usize,
+    ) -> Result<(Parts, Bytes), ClientError> {
+        let exchange = self.exchange_with_progress(addr, req, max_idle, max_bytes, || ());
+        exchange.await
+    }
+
+    /// Does the same as [`Self::exchange`], and calls `on_progress` whenever a part of the answer
+    /// has arrived.
+    pub async fn exchange_with_progress(
+        &self,
+        addr: SocketAddr,
+        req: OutgoingRequest,
+        max_idle: Duration,
+        max_bytes: usize,
+        on_progress: impl Fn(),
     ) -> Result<(Parts, Bytes), ClientError> {
         let mut req = req;
         while let Some(conn) = self.take_idle(addr, max_idle) {
-            match self.exchange_on(conn, addr, req, max_bytes).await {
+            let exchange = self.exchange_on(conn, addr, req, max_bytes, &on_progress);
+            match exchange.await {
                 Err((err, Some(unsent))) if err.is_not_sent() => req = unsent,
                 result => return result.map_err(|(err, _)| err),
             }
         }
         let conn = ClientConn::connect(addr, self.timeouts.connect).await?;
-        let result = self.exchange_on(conn, addr, req, max_bytes).await;
+        let exchange = self.exchange_on(conn, addr, req, max_bytes, &on_progress);
+        let result = exchange.await;
         result.map_err(|(err, _)| err)
     }
 
@@ -76,9 +92,11 @@
         addr: SocketAddr,
         req: OutgoingRequest,
         max_bytes: usize,
+        on_progress: &impl Fn(),
     ) -> Result<(Parts, Bytes), (ClientError, Option<OutgoingRequest>)> {
         let res = conn.send(req).await?;
-        let answer = ClientConn::read_body(res, max_bytes)
+        on_progress();
+        let answer = ClientConn::read_body(res, max_bytes, on_progress)
             .await
             .map_err(|err| (err, None))?;
         self.put_idle(addr, conn);
