Bound the wait after failed calls by the stable window

Callers may see routes of an old version after the store is back, for a second cause beside calls without a response: after several failures a daemon waited up to 2.4 s before the next call. With a connection attempt that fails as the path returns (0.8 s) and a listing of a large configuration (1 s), the version came after more than the stable window of 3 s.

The wait is now at most 0.98 s with jitter. The backoff moves to the deciding crate, where the random number is an argument, so that its bound can be tested; it replaces the one in the adapter.

--- a/crates/lavenderhatch-decide/src/retry.rs
+++ b/crates/lavenderhatch-decide/src/retry.rs
@@ -1,9 +1,12 @@
-//! Decisions on which failed calls are retried and which reads are repeated, and the retry budget.
+//! Decisions on which failed calls are retried, when, and which reads are repeated, and the retry
+//! budget.
 
+mod backoff;
 mod budget;
 mod failed_attempt;
 mod hedged_read;
 
+pub use backoff::Backoff;
 pub use budget::RetryTokens;
 pub use failed_attempt::{FailedAttempt, RetryCost, retry_cost};
 pub use hedged_read::HedgedRead;
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod audit;
+mod backoff;
 mod choose;
 mod distribution;
 mod endpoints;
