Bound the delay after a slow reading of the configuration

While versions follow each other, a daemon lets at least the time of one reading pass before the next, so that readings take at most half of a small link. One reading that took long, for a slow store or a busy link, therefore deferred the next by as long again: a reading of 3 s, the timeout of a call, was followed by a pause of 3 s, more than the 2.5 s in which a version must be in force.

The part of the pause that is for the link is now at most a quarter of the apply deadline. The function moves to the deciding crate, so that its bound can be tested.

a_slow_reading_does_not_use_up_the_deadline_of_the_next failed in its three cases before.

Ruled out as a cause on its own: load without disruptions.

--- a/crates/lavenderhatch-decide/src/distribution.rs
+++ b/crates/lavenderhatch-decide/src/distribution.rs
@@ -4,12 +4,14 @@
 //! from a log of recent versions, or the whole mesh. The receiver builds a new snapshot from it,
 //! checks the snapshot as a whole, and publishes it in one step.
 
+mod coalescing_delay;
 mod delta_log;
 mod evaluate;
 mod puller;
 mod readers;
 mod transfer_limiter;
 
+pub use coalescing_delay::coalescing_delay;
 pub use delta_log::{DELTA_LOG_CAPACITY, DeltaLog};
 pub use evaluate::{UpdateAction, UpdateRefusal, evaluate_update};
 pub use puller::{Pull, PullResult, Puller};
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod backoff;
 mod choose;
+mod coalescing_delay;
 mod distribution;
 mod endpoints;
 mod explain;
