--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -18,7 +18,7 @@
 use crate::admission_gate::{AdmissionGate, ServiceTimeSample};
 use crate::blackboard::Blackboard;
 use crate::config::HeaderNames;
-use crate::io::{ClientError, ClientPool, ClientTimeouts};
+use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
 use crate::monotonic_clock::MonotonicClock;
 
 /// Largest answer that is accepted, in bytes.
@@ -64,6 +64,7 @@
             pool: ClientPool::new(ClientTimeouts {
                 connect: CONNECT_TIMEOUT,
                 idle: IDLE_LIMIT,
+                unacknowledged: UNACKNOWLEDGED_TIMEOUT,
             }),
         }
     }
--- a/crates/lavenderhatch-relay/src/exchange/peer_client.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_client.rs
@@ -12,7 +12,7 @@
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{read_failure, read_load, read_times, write_call};
 use crate::blackboard::Endpoint;
-use crate::io::{ClientError, ClientPool, ClientTimeouts};
+use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
 use crate::monotonic_clock::MonotonicClock;
 
 /// Largest answer that is accepted, in bytes.
@@ -35,6 +35,7 @@
         let pool = ClientPool::new(ClientTimeouts {
             connect: CONNECT_TIMEOUT,
             idle: IDLE_LIMIT,
+            unacknowledged: UNACKNOWLEDGED_TIMEOUT,
         });
         Self { pool, clock }
     }
--- a/crates/lavenderhatch-relay/src/io.rs
+++ b/crates/lavenderhatch-relay/src/io.rs
@@ -14,5 +14,5 @@
 pub use connect::ClientTimeouts;
 pub use listener::bind_listener;
 
-pub(crate) use listener::{accept_loop, configure_stream};
+pub(crate) use listener::{UNACKNOWLEDGED_TIMEOUT, accept_loop, configure_stream};
 pub(crate) use server_stream::{ReadAhead, ServerStream};
--- a/crates/lavenderhatch-relay/src/io/client_conn.rs
+++ b/crates/lavenderhatch-relay/src/io/client_conn.rs
@@ -13,7 +13,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::client_error::ClientError;
-use super::connect::connect;
+use super::connect::{ClientTimeouts, connect};
 
 /// A request with its whole body.
 pub(crate) type OutgoingRequest = Request<Full<Bytes>>;
@@ -34,9 +34,10 @@
 }
 
 impl ClientConn {
-    /// Connects to a server within `limit`.
-    pub async fn connect(addr: SocketAddr, limit: Duration) -> Result<Self, ClientError> {
-        let stream = connect(addr, limit).await.map_err(ClientError::Connect)?;
+    /// Connects to a server.
+    pub async fn connect(addr: SocketAddr, timeouts: &ClientTimeouts) -> Result<Self, ClientError> {
+        let stream = connect(addr, timeouts).await;
+        let stream = stream.map_err(ClientError::Connect)?;
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
             .map_err(ClientError::Exchange)?;
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -71,7 +71,7 @@
                 result => return result.map_err(|(err, _)| err),
             }
         }
-        let conn = ClientConn::connect(addr, self.timeouts.connect).await?;
+        let conn = ClientConn::connect(addr, &self.timeouts).await?;
         let exchange = self.exchange_on(conn, addr, req, max_bytes, &on_progress);
         let result = exchange.await;
         result.map_err(|(err, _)| err)
--- a/crates/lavenderhatch-relay/src/io/connect.rs
+++ b/crates/lavenderhatch-relay/src/io/connect.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::listener::configure_stream;
+use super::listener::configure_stream_with;
 
 /// Timeouts of client connections.
 #[derive(Clone, Copy, Debug)]
@@ -16,12 +16,16 @@
     pub connect: Duration,
     /// Longest time for which an idle connection is reused.
     pub idle: Duration,
+    /// Longest time for which sent data and keep-alive probes may stay unacknowledged. A silent
+    /// connection is dropped up to a second later.
+    pub unacknowledged: Duration,
 }
 
-pub(super) async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let stream = timeout(limit, TcpStream::connect(addr))
+/// Connects to a server.
+pub(super) async fn connect(addr: SocketAddr, timeouts: &ClientTimeouts) -> io::Result<TcpStream> {
+    let stream = timeout(timeouts.connect, TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    configure_stream(&stream)?;
+    configure_stream_with(&stream, timeouts.unacknowledged)?;
     Ok(stream)
 }
--- a/crates/lavenderhatch-relay/src/io/listener.rs
+++ b/crates/lavenderhatch-relay/src/io/listener.rs
@@ -22,7 +22,7 @@
 /// Time between keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which sent data and probes may stay unacknowledged before the connection is dropped.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Binds a listening socket.
 pub fn bind_listener(addr: SocketAddr) -> io::Result<StdListener> {
@@ -35,17 +35,26 @@
     Ok(socket.into())
 }
 
-/// Configures a connection: no delay for small writes, and the silent loss of the other side is
-/// detected within seconds.
+/// Configures a connection of a server: no delay for small writes, and the silent loss of the other
+/// side is detected within seconds.
 pub(crate) fn configure_stream(stream: &TcpStream) -> io::Result<()> {
+    configure_stream_with(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+/// Configures a connection whose sent data and probes may stay unacknowledged for `timeout`.
+///
+/// The kernel sends probes in whole seconds, the first one after [`KEEPALIVE_IDLE`], and drops the
+/// connection at the first one that finds `timeout` passed.
+pub(super) fn configure_stream_with(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    let probes = timeout.as_secs().max(1) as u32;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
+        .with_retries(probes);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(timeout))
 }
 
 /// Accepts connections until the ports are closed.
