Keep the rate limit that a backend server names

A backend server in need names in its answers the requests a second that it takes from all daemons together.

Cause: nothing read the header.

All requests to a backend server pass the gate of the daemon beside it, so that gate now has a token bucket of the named rate, for half a second of requests at most. A request that the rate cannot serve in time is refused on arrival with the time at which there is room, a waiting one starts when its token comes, in the order of ranks, and a gate without tokens reports itself as full, so that others choose another backend server. A signed answer without the header lifts the limit. A limit of zero still lets a request through every two seconds, or no answer could lift it.

--- a/crates/lavenderhatch-bench/src/bin/relay_load/server.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/server.rs
@@ -78,7 +78,7 @@
             self.in_use += 1;
             return Admission::Started;
         }
-        let refused = Admission::Refused(self.queue.refusal(SLOTS));
+        let refused = Admission::Refused(self.refusal(now));
         if !may_wait {
             return refused;
         }
@@ -130,8 +130,8 @@
     }
 
     /// Returns the refusal for a request that gets no slot.
-    pub(crate) fn refusal(&self) -> Refusal {
-        self.queue.refusal(SLOTS)
+    pub(crate) fn refusal(&self, now: Timestamp) -> Refusal {
+        self.queue.refusal(SLOTS, now)
     }
 
     /// Releases the slot of a request.
--- a/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
@@ -398,9 +398,10 @@
         if req.attempts.placed != attempt {
             return;
         }
+        let now = self.timestamp();
         let server = &mut self.servers[req.server];
         server.remove(request, ticket);
-        let refusal = server.refusal();
+        let refusal = server.refusal(now);
         let outcome = AttemptOutcome::Refused {
             retry_after: refusal.retry_after.as_micros() as u64,
             load: server.load(),
--- a/crates/lavenderhatch-decide/src/relay.rs
+++ b/crates/lavenderhatch-decide/src/relay.rs
@@ -7,6 +7,7 @@
 //! - [`choose_backend()`]: which backend server a request is sent to.
 //! - [`may_wait`]: whether an attempt may wait for a slot or must try another backend server first.
 //! - [`next_step()`]: whether a request is retried after an attempt has ended.
+//! - [`RateLimiter`]: how many requests may start in a second at a backend server in need.
 //! - [`RetryBudget`]: how many requests may be retried.
 
 mod backend_state;
@@ -15,6 +16,7 @@
 mod first_attempt_estimator;
 mod next_step;
 mod rank_loads;
+mod rate_limiter;
 mod retry_budget;
 mod service_times;
 mod slot_queue;
@@ -24,6 +26,7 @@
 pub use demand::Demand;
 pub use first_attempt_estimator::FirstAttemptEstimator;
 pub use next_step::{AttemptEnd, Attempts, NextStep, may_wait, next_step};
+pub use rate_limiter::RateLimiter;
 pub use retry_budget::RetryBudget;
 pub use service_times::ServiceTimes;
 pub use slot_queue::{Refusal, SlotQueue, Ticket};
--- a/crates/lavenderhatch-decide/src/relay/slot_queue.rs
+++ b/crates/lavenderhatch-decide/src/relay/slot_queue.rs
@@ -6,6 +6,7 @@
 
 use super::demand::Demand;
 use super::rank_loads::RankLoads;
+use super::rate_limiter::RateLimiter;
 use super::service_times::ServiceTimes;
 
 /// Slot time credited to the least urgent rank per slot time of more urgent requests that overtake
@@ -47,6 +48,8 @@
     /// Slot time owed to the least urgent rank that waits. It is counted in time because long
     /// requests would take most of the slots if every few requests one of them went first.
     credit: Duration,
+    /// Limit that the backend server has named, while it names one.
+    rate: Option<RateLimiter>,
 }
 
 impl<T> Default for SlotQueue<T> {
@@ -57,6 +60,7 @@
             service: ServiceTimes::default(),
             loads: RankLoads::default(),
             credit: Duration::ZERO,
+            rate: None,
         }
     }
 }
@@ -66,7 +70,7 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if no slot is expected to be free in time.
+    /// Refuses the request if it is not expected to start in time.
     pub fn offer(
         &mut self,
         item: T,
@@ -74,10 +78,10 @@
         slots: u32,
         now: Timestamp,
     ) -> Result<Ticket, Refusal> {
-        let wait = self.expected_wait(&demand, slots);
+        let wait = self.expected_wait(&demand, slots, now);
         let service = self.service.of(demand.class);
         if slots == 0 || now + wait > demand.latest_start(service) {
-            return Err(self.refusal(slots));
+            return Err(self.refusal(slots, now));
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -90,8 +94,12 @@
     }
 
     /// Returns the position of the request that gets the next of `free` free slots out of `slots`,
-    /// or `None` if no request waits or the free slots are reserved for more urgent requests.
+    /// or `None` if no request waits, the rate limit is reached or the free slots are reserved for
+    /// more urgent requests.
     pub fn next(&self, free: u32, slots: u32, now: Timestamp) -> Option<usize> {
+        if !self.is_within_rate(now) {
+            return None;
+        }
         let may_start = |demand: &Demand| free > self.reserved(demand, slots, now);
         let lowest_rank = self.waiting.iter().map(|w| w.demand.priority).max()?;
         let is_credited = |demand: &Demand| {
@@ -115,6 +123,33 @@
         item
     }
 
+    /// Sets the requests per second that the backend server takes, or no limit.
+    pub fn set_rate(&mut self, rate: Option<f64>, now: Timestamp) {
+        match (&mut self.rate, rate) {
+            (Some(limiter), Some(rate)) => limiter.set_rate(rate, now),
+            (_, rate) => self.rate = rate.map(|rate| RateLimiter::new(rate, now)),
+        }
+    }
+
+    /// Whether another request may start without exceeding the rate limit.
+    pub fn is_within_rate(&self, now: Timestamp) -> bool {
+        self.rate.is_none_or(|limiter| limiter.has_token(now))
+    }
+
+    /// Records the start of a request, which counts towards the rate limit.
+    pub fn record_start(&mut self, now: Timestamp) {
+        if let Some(limiter) = &mut self.rate {
+            limiter.record_start(now);
+        }
+    }
+
+    /// Returns the time after which the rate limit lets the next waiting request start; `None` if
+    /// no request waits for it.
+    pub fn time_to_next_start(&self, now: Timestamp) -> Option<Duration> {
+        let wait = self.rate.map(|limiter| limiter.time_to_start(1, now));
+        wait.filter(|wait| !wait.is_zero() && !self.waiting.is_empty())
+    }
+
     /// Returns the number of slots that a request must leave free for more urgent ones.
     pub fn reserved(&self, demand: &Demand, slots: u32, now: Timestamp) -> u32 {
         let service = self.service.of(demand.class);
@@ -154,21 +189,31 @@
     }
 
     /// Returns the refusal for a request that gets no slot.
-    pub fn refusal(&self, slots: u32) -> Refusal {
-        let ahead = self.waiting.len() as u32 + 1;
-        let wait = self.service.overall() * ahead / slots.max(1);
+    pub fn refusal(&self, slots: u32, now: Timestamp) -> Refusal {
+        let position = self.waiting.len() as u32 + 1;
+        let wait = self.service.overall() * position / slots.max(1);
         Refusal {
-            retry_after: wait.max(MIN_RETRY_AFTER),
+            retry_after: wait.max(self.rate_wait(position, now)).max(MIN_RETRY_AFTER),
         }
     }
 
-    /// Expected time until a slot is free for a request, after those that go ahead of it.
-    fn expected_wait(&self, demand: &Demand, slots: u32) -> Duration {
+    /// Expected time until a request starts, after those that go ahead of it.
+    fn expected_wait(&self, demand: &Demand, slots: u32, now: Timestamp) -> Duration {
         let goes_ahead = |other: &&WaitingRequest<T>| other.demand.priority <= demand.priority;
         let ahead = self.waiting.iter().filter(goes_ahead);
+        let position = ahead.clone().count() as u32 + 1;
         let work: Duration = ahead.map(|w| self.service.of(w.demand.class)).sum();
         // On average, a slot becomes free every service time divided by the number of slots.
-        (work + self.service.overall()) / slots.max(1)
+        let slot_wait = (work + self.service.overall()) / slots.max(1);
+        slot_wait.max(self.rate_wait(position, now))
+    }
+
+    /// Time until the rate limit lets the request at a position of the queue start.
+    fn rate_wait(&self, position: u32, now: Timestamp) -> Duration {
+        let limiter = self.rate.as_ref();
+        limiter.map_or(Duration::ZERO, |limiter| {
+            limiter.time_to_start(position, now)
+        })
     }
 
     fn best(&self, now: Timestamp, is_eligible: impl Fn(&Demand) -> bool) -> Option<usize> {
--- a/crates/lavenderhatch-decide/tests/testsuite/relay.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay.rs
@@ -5,5 +5,6 @@
 mod long_requests;
 mod next_step;
 mod overload;
+mod rate_limiter;
 mod retry_budget;
 mod slot_queue;
--- a/crates/lavenderhatch-relay/src/admission_gate.rs
+++ b/crates/lavenderhatch-relay/src/admission_gate.rs
@@ -1,15 +1,17 @@
 //! Limits the concurrent requests at the local backend server.
 
 use std::fmt;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_core::load::{Acquisition, SlotSemaphore};
 use lavenderhatch_decide::relay::{Demand, Refusal, SlotQueue, Ticket};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
+use tracing::info;
 
 use crate::monotonic_clock::MonotonicClock;
 
@@ -17,14 +19,19 @@
 type AdmissionResult = Result<Permit, Refusal>;
 type Queue = SlotQueue<oneshot::Sender<AdmissionResult>>;
 
-/// Admits requests to the local backend server, as many at a time as it has slots.
+/// Admits requests to the local backend server, as many at a time as it has slots and, while it
+/// names a rate limit, no more than that in a second.
 ///
-/// While a slot is free and no request waits, a request is admitted by one compare-and-swap. The
-/// queue's lock is only taken by threads of the request path and is never held while a request
-/// waits.
+/// While a slot is free, no request waits and there is no rate limit, a request is admitted by one
+/// compare-and-swap. The queue's lock is only taken by threads of the request path and is never
+/// held while a request waits.
 pub struct AdmissionGate {
     slots: SlotSemaphore<AtomicU64>,
     queue: Mutex<Queue>,
+    /// Whether the queue has a rate limit.
+    is_rate_limited: AtomicBool,
+    /// Whether a task waits for the time at which the rate limit lets the next request start.
+    is_dispatch_scheduled: AtomicBool,
     clock: MonotonicClock,
 }
 
@@ -35,6 +42,8 @@
         Arc::new(Self {
             slots: SlotSemaphore::new(word),
             queue: Mutex::default(),
+            is_rate_limited: AtomicBool::new(false),
+            is_dispatch_scheduled: AtomicBool::new(false),
             clock,
         })
     }
@@ -63,13 +72,13 @@
             // stays free while less urgent ones wait.
             let granted = rx.try_recv();
             drop(position);
-            return granted.unwrap_or_else(|_| Err(self.lock().refusal(slots)));
+            return granted.unwrap_or_else(|_| Err(self.refusal(slots)));
         }
         let result = timeout(latest_start.since(now), rx).await;
         drop(position);
         match result {
             Ok(Ok(result)) => result,
-            _ => Err(self.lock().refusal(slots)),
+            _ => Err(self.refusal(slots)),
         }
     }
 
@@ -80,6 +89,19 @@
         self.dispatch();
     }
 
+    /// Sets the requests per second that the backend server takes from all daemons, or no limit.
+    pub fn set_rate(self: &Arc<Self>, rate: Option<f64>) {
+        let was_limited = self.is_rate_limited.swap(rate.is_some(), Ordering::AcqRel);
+        if !was_limited && rate.is_none() {
+            return;
+        }
+        if was_limited != rate.is_some() {
+            info!(rate, "gate: the backend server has changed its rate limit");
+        }
+        self.lock().set_rate(rate, self.clock.now());
+        self.dispatch();
+    }
+
     /// Refuses all waiting requests, after the backend server has started draining.
     pub fn refuse_waiting(&self) {
         let waiting = self.lock().drain();
@@ -93,14 +115,27 @@
         }
     }
 
-    /// Returns the number of requests that run or wait.
+    /// Returns the number of requests that run or wait. A backend server that has reached its rate
+    /// limit counts as full, because it takes no request now.
     pub fn load(&self) -> u32 {
         let state = self.slots.state();
-        u32::from(state.in_flight) + state.waiting
+        let load = u32::from(state.in_flight) + state.waiting;
+        match self.is_rate_reached(self.clock.now()) {
+            true => load.max(u32::from(state.limit)),
+            false => load,
+        }
+    }
+
+    fn is_rate_reached(&self, now: Timestamp) -> bool {
+        self.is_rate_limited.load(Ordering::Acquire) && !self.lock().is_within_rate(now)
     }
 
-    /// Takes a slot if one is free and not reserved for more urgent requests, else counts the
-    /// request as waiting. Returns whether it took one.
+    fn refusal(&self, slots: u32) -> Refusal {
+        self.lock().refusal(slots, self.clock.now())
+    }
+
+    /// Takes a slot if one is free, not reserved for more urgent requests and within the rate limit,
+    /// else counts the request as waiting. Returns whether it took one.
     fn acquire_or_start_waiting(&self, demand: &Demand, now: Timestamp) -> bool {
         let state = self.slots.state();
         let slots = u32::from(state.limit);
@@ -109,11 +144,15 @@
             0 => 0,
             _ => self.lock().reserved(demand, slots, now),
         };
-        if u32::from(state.in_flight) + reserved >= slots {
+        if u32::from(state.in_flight) + reserved >= slots || self.is_rate_reached(now) {
             self.slots.add_waiting();
             return false;
         }
-        self.slots.acquire_or_wait() == Acquisition::Acquired
+        let is_acquired = self.slots.acquire_or_wait() == Acquisition::Acquired;
+        if is_acquired && self.is_rate_limited.load(Ordering::Acquire) {
+            self.lock().record_start(now);
+        }
+        is_acquired
     }
 
     fn permit(self: &Arc<Self>) -> Permit {
@@ -134,12 +173,17 @@
                 if free == 0 {
                     return;
                 }
-                let Some(at) = queue.next(free, slots, self.clock.now()) else {
+                let now = self.clock.now();
+                let Some(at) = queue.next(free, slots, now) else {
+                    if let Some(wait) = queue.time_to_next_start(now) {
+                        self.schedule_dispatch(wait);
+                    }
                     return;
                 };
                 if !self.slots.grant_to_waiting() {
                     return;
                 }
+                queue.record_start(now);
                 queue.take(at)
             };
             // If the receiver is gone, the permit is dropped, which frees its slot.
@@ -147,6 +191,24 @@
         }
     }
 
+    /// Grants slots after `wait`, when the rate limit lets the next request start.
+    fn schedule_dispatch(self: &Arc<Self>, wait: Duration) {
+        if self.is_dispatch_scheduled.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let Ok(event_loop) = Handle::try_current() else {
+            // The next request or answer dispatches on a thread with an event loop.
+            self.is_dispatch_scheduled.store(false, Ordering::Release);
+            return;
+        };
+        let gate = Arc::clone(self);
+        event_loop.spawn(async move {
+            sleep(wait).await;
+            gate.is_dispatch_scheduled.store(false, Ordering::Release);
+            gate.dispatch();
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, Queue> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/lavenderhatch-relay/src/config.rs
+++ b/crates/lavenderhatch-relay/src/config.rs
@@ -20,6 +20,9 @@
     pub not_run: HeaderName,
     /// Service whose daemon received the request from the caller.
     pub caller_service: HeaderName,
+    /// Requests per second that a backend server in need takes from all daemons together, a decimal
+    /// number. On each of its answers while the limit holds.
+    pub rate_limit: HeaderName,
 }
 
 /// Addresses, header names and limits of a daemon.
--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, StatusCode};
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{BackendReport, Refusal};
+use tracing::debug;
 
 use super::attempt::{AttemptResult, BackendAnswer, Failure};
 use super::call::Call;
@@ -144,6 +145,22 @@
         req
     }
 
+    /// Applies the rate limit that an answer names. A signed answer without one lifts it.
+    fn apply_rate_limit(&self, parts: &Parts) {
+        let names = &self.headers;
+        let Some(value) = parts.headers.get(&names.rate_limit) else {
+            if parts.headers.contains_key(&names.signature) {
+                self.gate.set_rate(None);
+            }
+            return;
+        };
+        let rate = value.to_str().ok().and_then(parse_rate);
+        match rate {
+            Some(rate) => self.gate.set_rate(Some(rate)),
+            None => debug!(?value, "backend: a rate limit is not a number"),
+        }
+    }
+
     fn failure_from(&self, err: &ClientError) -> Failure {
         match err {
             ClientError::Connect(_) | ClientError::NotSent => {
@@ -170,6 +187,7 @@
         if !is_answer_to_call {
             return Err(outcome_unknown("the answer belongs to another request"));
         }
+        self.apply_rate_limit(&parts);
         if parts.headers.contains_key(&names.not_run) {
             let reason = format!("the backend server refused with {}", parts.status);
             return Err(Failure::after_arrival(ErrorKind::Overloaded, reason));
@@ -203,6 +221,12 @@
     }
 }
 
+/// Parses requests per second, a decimal number.
+fn parse_rate(text: &str) -> Option<f64> {
+    let rate = text.trim().parse().ok()?;
+    (0.0..f64::INFINITY).contains(&rate).then_some(rate)
+}
+
 fn id_of(report: &BackendReport) -> String {
     report.id.clone()
 }
--- a/crates/lavenderhatch-relay/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod leaving;
 mod limits;
 mod pipeline;
+mod rate_limits;
 mod retries;
 mod support;
--- a/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
@@ -187,6 +187,7 @@
             expected_backend: HeaderName::from_static("expected-backend"),
             not_run: HeaderName::from_static("not-run"),
             caller_service: HeaderName::from_static("caller-service"),
+            rate_limit: HeaderName::from_static("rate-limit"),
         },
         retry_ratio: 0.2,
         retry_burst: 20.0,
