Stop using a backend server whose answers say that it leaves

A backend server that leaves says so in all its answers. A daemon went on sending requests to it until its report came, which may be late or lost, and a daemon that had passed such an answer on to a caller is bound by it a drain time later, in touch or not (DRAIN).

A daemon that has passed on such an answer never sends to that incarnation again, also if the daemon beside it does not know.

--- a/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
+++ b/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
@@ -155,6 +155,7 @@
             not_run: HeaderName::from_static("not-run"),
             caller_service: HeaderName::from_static("caller-service"),
             rate_limit: HeaderName::from_static("rate-limit"),
+            leaving: HeaderName::from_static("leaving"),
         },
         retry_ratio: 0.2,
         retry_burst: 20.0,
--- a/crates/lavenderhatch-relay/src/blackboard.rs
+++ b/crates/lavenderhatch-relay/src/blackboard.rs
@@ -1,5 +1,6 @@
 //! The blackboard sections that the request path reads.
 
+mod announced_departure;
 mod endpoint;
 mod endpoint_snapshot;
 mod endpoint_stats;
@@ -12,6 +13,7 @@
 
 use crate::lifecycle::Lifecycle;
 
+pub use announced_departure::AnnouncedDeparture;
 pub use endpoint::Endpoint;
 pub use endpoint_snapshot::EndpointSnapshot;
 pub use endpoint_stats::EndpointStats;
@@ -29,6 +31,8 @@
     pub backend: SectionReader<BackendState>,
     /// Drain state of the daemon and its count of requests in flight.
     pub lifecycle: Arc<Lifecycle>,
+    /// Departure that answers of the local backend server announce.
+    pub announced_departure: Arc<AnnouncedDeparture>,
 }
 
 /// The writer of each section.
@@ -53,6 +57,7 @@
             endpoints: endpoints_reader,
             backend: backend_reader,
             lifecycle: Arc::default(),
+            announced_departure: Arc::default(),
         };
         let writers = SectionWriters {
             routing,
--- a/crates/lavenderhatch-relay/src/blackboard/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/src/blackboard/endpoint_stats.rs
@@ -1,6 +1,6 @@
 //! Statistics that this daemon collects about an endpoint.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
@@ -54,6 +54,9 @@
     suspended_until: [AtomicU64; RANK_COUNT],
     /// Number of consecutive failed connection attempts.
     connect_failures: AtomicU32,
+    /// Whether the backend server has said in an answer that it leaves. Never taken back, because
+    /// each incarnation has statistics of its own.
+    is_leaving: AtomicBool,
 }
 
 impl Default for EndpointStats {
@@ -69,6 +72,7 @@
             delay_at: AtomicU64::new(0),
             suspended_until: Default::default(),
             connect_failures: AtomicU32::new(0),
+            is_leaving: AtomicBool::new(false),
         }
     }
 }
@@ -173,9 +177,15 @@
         self.suspend(now + Duration::from_millis(backoff));
     }
 
+    /// Records that the backend server has said in an answer that it leaves.
+    pub fn mark_leaving(&self) {
+        self.is_leaving.store(true, Relaxed);
+    }
+
     /// Whether the endpoint may be chosen for a request of this rank.
     pub fn is_available(&self, priority: u8, now: Timestamp) -> bool {
-        self.suspended_until[rank_index(priority)].load(Relaxed) <= now.0
+        let is_leaving = self.is_leaving.load(Relaxed);
+        !is_leaving && self.suspended_until[rank_index(priority)].load(Relaxed) <= now.0
     }
 }
 
--- a/crates/lavenderhatch-relay/src/config.rs
+++ b/crates/lavenderhatch-relay/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use hyper::header::HeaderName;
 
 /// Names of the headers that are exchanged with callers and backend servers.
@@ -23,6 +24,15 @@
     /// Requests per second that a backend server in need takes from all daemons together, a decimal
     /// number. On each of its answers while the limit holds.
     pub rate_limit: HeaderName,
+    /// Is `1` on each answer of a backend server that leaves.
+    pub leaving: HeaderName,
+}
+
+impl HeaderNames {
+    /// Whether an answer says that its backend server leaves.
+    pub(crate) fn is_departure_announced(&self, headers: &HeaderMap) -> bool {
+        headers.get(&self.leaving).is_some_and(|value| value == "1")
+    }
 }
 
 /// Addresses, header names and limits of a daemon.
--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{BackendReport, Refusal};
-use tracing::debug;
+use tracing::{debug, info};
 
 use super::attempt::{AttemptResult, BackendAnswer, Failure};
 use super::call::Call;
@@ -74,14 +74,14 @@
     ///
     /// Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call) -> AttemptResult {
-        self.serving_backend_id(call)?;
+        self.serving_backend(call)?;
         let permit = self
             .gate
             .acquire(&call.demand, call.may_wait)
             .await
             .map_err(overload_failure)?;
         // The backend server may have started draining while the request waited.
-        let id = self.serving_backend_id(call)?;
+        let backend = self.serving_backend(call)?;
         let now = self.clock.now();
         if call.time_left(now).is_zero() {
             let reason = "the deadline passed in the queue";
@@ -90,7 +90,7 @@
                 reason,
             ));
         }
-        let req = self.request(call, &id, now);
+        let req = self.request(call, &backend.id, now);
         let max_idle = match call.is_idempotent {
             true => IDLE_LIMIT,
             false => NON_IDEMPOTENT_IDLE_LIMIT,
@@ -101,7 +101,7 @@
             .await
             .map_err(|err| self.failure_from(&err))?;
         let times = permit.finish(&call.demand);
-        self.check_answer(call, parts, body, times)
+        self.check_answer(call, &backend, parts, body, times)
     }
 
     /// Returns the name of the header with the identity of a request.
@@ -114,16 +114,18 @@
         self.pool.close_expired();
     }
 
-    /// Returns the identity of the backend server if it accepts requests for the service of the
+    /// Returns the last report of the backend server if it accepts requests for the service of the
     /// call.
-    fn serving_backend_id(&self, call: &Call) -> Result<String, Failure> {
+    fn serving_backend(&self, call: &Call) -> Result<BackendReport, Failure> {
         if call.service != self.service {
             let reason = format!("this backend server runs {}", self.service);
             return Err(Failure::before_arrival(ErrorKind::NoBackend, reason));
         }
         let state = self.blackboard.backend.load();
         let serving = state.serving(self.report_timeout, self.clock.now());
-        serving.map(id_of).ok_or_else(|| {
+        let departure = &self.blackboard.announced_departure;
+        let serving = serving.filter(|backend| !departure.is_announced(backend));
+        serving.cloned().ok_or_else(|| {
             let reason = "the backend server takes no requests";
             Failure::before_arrival(ErrorKind::Leaving, reason)
         })
@@ -145,6 +147,18 @@
         req
     }
 
+    /// Sends no more requests to a backend server whose answer says that it leaves.
+    fn apply_departure(&self, backend: &BackendReport, parts: &Parts) {
+        if !self.headers.is_departure_announced(&parts.headers) {
+            return;
+        }
+        let departure = &self.blackboard.announced_departure;
+        if departure.announce(backend) {
+            info!(id = backend.id, "backend: an answer says that it leaves");
+            self.gate.refuse_waiting();
+        }
+    }
+
     /// Applies the rate limit that an answer names. A signed answer without one lifts it.
     fn apply_rate_limit(&self, parts: &Parts) {
         let names = &self.headers;
@@ -174,6 +188,7 @@
     fn check_answer(
         &self,
         call: &Call,
+        backend: &BackendReport,
         mut parts: Parts,
         body: Bytes,
         times: ServiceTimeSample,
@@ -187,6 +202,7 @@
         if !is_answer_to_call {
             return Err(outcome_unknown("the answer belongs to another request"));
         }
+        self.apply_departure(backend, &parts);
         self.apply_rate_limit(&parts);
         if parts.headers.contains_key(&names.not_run) {
             let reason = format!("the backend server refused with {}", parts.status);
@@ -227,10 +243,6 @@
     (0.0..f64::INFINITY).contains(&rate).then_some(rate)
 }
 
-fn id_of(report: &BackendReport) -> String {
-    report.id.clone()
-}
-
 fn overload_failure(refusal: Refusal) -> Failure {
     Failure {
         retry_after: refusal.retry_after,
--- a/crates/lavenderhatch-relay/src/exchange/router.rs
+++ b/crates/lavenderhatch-relay/src/exchange/router.rs
@@ -289,6 +289,9 @@
         outstanding.is_finished = true;
         if let Ok(answer) = &result {
             endpoint.stats.record_delay(answer.delay, self.clock.now());
+            if self.cfg.headers.is_departure_announced(&answer.headers) {
+                endpoint.stats.mark_leaving();
+            }
         }
         drop(outstanding);
         self.record_outcome(call, endpoint, &result);
--- a/crates/lavenderhatch-relay/src/lib.rs
+++ b/crates/lavenderhatch-relay/src/lib.rs
@@ -35,7 +35,9 @@
 mod relay;
 
 pub use admission_gate::{AdmissionGate, Permit, ServiceTimeSample};
-pub use blackboard::{Blackboard, Endpoint, EndpointSnapshot, EndpointStats, SectionWriters};
+pub use blackboard::{
+    AnnouncedDeparture, Blackboard, Endpoint, EndpointSnapshot, EndpointStats, SectionWriters,
+};
 pub use config::{HeaderNames, RelayConfig};
 pub use http_server::{HttpRequest, HttpResponse, serve_http};
 pub use io::{ClientConn, ClientError, ClientPool, ClientTimeouts, bind_listener};
--- a/crates/lavenderhatch-relay/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod cancel;
+mod departures;
 mod endpoint_stats;
 mod leaving;
 mod limits;
--- a/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
@@ -91,9 +91,18 @@
 
     /// Applies a report of the backend server, as the daemon's controller does.
     pub(crate) fn report(&self, phase: BackendPhase, sequence: u64) {
+        self.apply_report(1, sequence, phase);
+    }
+
+    /// Applies the first report of an incarnation.
+    pub(crate) fn report_incarnation(&self, incarnation: u64) {
+        self.apply_report(incarnation, 1, BackendPhase::Ready);
+    }
+
+    fn apply_report(&self, incarnation: u64, sequence: u64, phase: BackendPhase) {
         let report = BackendReport {
             id: self.id.clone(),
-            incarnation: 1,
+            incarnation,
             sequence,
             slots: SLOTS,
             phase,
@@ -188,6 +197,7 @@
             not_run: HeaderName::from_static("not-run"),
             caller_service: HeaderName::from_static("caller-service"),
             rate_limit: HeaderName::from_static("rate-limit"),
+            leaving: HeaderName::from_static("leaving"),
         },
         retry_ratio: 0.2,
         retry_burst: 20.0,
