Bound the bytes that are read for an answer

A backend server in trouble may send bytes without end. Two of six forms of that were not bounded well. A body without a length was read up to 16 MiB, which in all 18 slots of a VM of 160 MB is more than its memory. Interim answers (1xx) were skipped without limit by the HTTP client: the thread that serves callers was busy with them, and the caller had no answer after 10 s with a route's timeout of 0.2 s.

A body may now have 4 MiB, and the stream below the HTTP client fails once 1 MiB was read without the head of an answer. The connection is closed; the caller gets 502, or an idempotent request goes elsewhere.

an_endless_answer_ends_at_a_bound failed before for a body without length (22,347,832 bytes sent, 9,320,675 allowed) and for interim answers (no response); its other four cases passed before.

--- a/crates/lavenderhatch-relay/src/exchange/attempt.rs
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -9,6 +9,10 @@
 
 use super::call::Call;
 
+/// Largest body of an answer, in bytes. Answers are kept whole, and a backend server in trouble may
+/// send bytes without end in each of its slots.
+pub(super) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// The answer of a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendAnswer {
--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -13,7 +13,7 @@
 use lavenderhatch_decide::relay::{BackendReport, Refusal};
 use tracing::{debug, info};
 
-use super::attempt::{AttemptResult, BackendAnswer, Failure};
+use super::attempt::{AttemptResult, BackendAnswer, Failure, MAX_ANSWER_BYTES};
 use super::call::Call;
 use super::hop_headers::remove_hop_headers;
 use crate::admission_gate::{AdmissionGate, ServiceTimeSample};
@@ -22,8 +22,6 @@
 use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
 use crate::monotonic_clock::MonotonicClock;
 
-/// Largest answer that is accepted, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout for a connection to the backend server, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for which an idle connection is reused. Backend servers close idle connections
--- a/crates/lavenderhatch-relay/src/exchange/peer_client.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_client.rs
@@ -7,7 +7,7 @@
 use hyper::Request;
 use lavenderhatch_core::ErrorKind;
 
-use super::attempt::{AttemptResult, BackendAnswer, Failure};
+use super::attempt::{AttemptResult, BackendAnswer, Failure, MAX_ANSWER_BYTES};
 use super::call::Call;
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{read_failure, read_load, read_times, write_call};
@@ -15,8 +15,6 @@
 use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
 use crate::monotonic_clock::MonotonicClock;
 
-/// Largest answer that is accepted, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout for a connection to another daemon. Packets travel between the zones of a region in a
 /// few milliseconds; a daemon behind a network partition does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/lavenderhatch-relay/src/io.rs
+++ b/crates/lavenderhatch-relay/src/io.rs
@@ -1,5 +1,6 @@
 //! Socket I/O: listeners, server connections and client connections.
 
+mod bounded_stream;
 mod client_conn;
 mod client_error;
 mod client_pool;
--- a/crates/lavenderhatch-relay/src/io/client_conn.rs
+++ b/crates/lavenderhatch-relay/src/io/client_conn.rs
@@ -12,12 +12,17 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::{JoinHandle, spawn_local};
 
+use super::bounded_stream::{BoundedStream, ReadAllowance};
 use super::client_error::ClientError;
 use super::connect::{ClientTimeouts, connect};
 
 /// A request with its whole body.
 pub(crate) type OutgoingRequest = Request<Full<Bytes>>;
 
+/// Bytes that may be read until the head of an answer is complete, interim answers included. More
+/// than the client reads at once, as the body may begin in the same read.
+const HEAD_ALLOWANCE: usize = 1024 * 1024;
+
 /// Part of the announced keep-alive timeout within which an idle connection is reused. The rest
 /// covers the time that a request takes to reach the server.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
@@ -29,6 +34,7 @@
 pub struct ClientConn {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    allowance: ReadAllowance,
     /// Time for which the idle connection is reused, derived from the server's `keep-alive` header.
     keep_alive_timeout: Option<Duration>,
 }
@@ -38,6 +44,9 @@
     pub async fn connect(addr: SocketAddr, timeouts: &ClientTimeouts) -> Result<Self, ClientError> {
         let stream = connect(addr, timeouts).await;
         let stream = stream.map_err(ClientError::Connect)?;
+        let allowance = ReadAllowance::default();
+        allowance.set(HEAD_ALLOWANCE);
+        let stream = BoundedStream::new(stream, allowance.clone());
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
             .map_err(ClientError::Exchange)?;
@@ -48,6 +57,7 @@
         Ok(Self {
             sender,
             task,
+            allowance,
             keep_alive_timeout: None,
         })
     }
@@ -62,6 +72,7 @@
         if self.sender.ready().await.is_err() {
             return Err((ClientError::NotSent, Some(req)));
         }
+        self.allowance.set(HEAD_ALLOWANCE);
         match self.sender.try_send_request(req).await {
             Ok(res) => {
                 self.keep_alive_timeout = keep_alive_timeout(&res);
@@ -77,10 +88,12 @@
     /// Reads the whole body of an answer, of at most `limit` bytes. Calls `on_progress` for each
     /// part that arrives.
     pub async fn read_body(
+        &self,
         res: Response<Incoming>,
         limit: usize,
         on_progress: impl Fn(),
     ) -> Result<(Parts, Bytes), ClientError> {
+        self.allowance.add(limit);
         let (parts, mut body) = res.into_parts();
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -96,9 +96,8 @@
     ) -> Result<(Parts, Bytes), (ClientError, Option<OutgoingRequest>)> {
         let res = conn.send(req).await?;
         on_progress();
-        let answer = ClientConn::read_body(res, max_bytes, on_progress)
-            .await
-            .map_err(|err| (err, None))?;
+        let answer = conn.read_body(res, max_bytes, on_progress).await;
+        let answer = answer.map_err(|err| (err, None))?;
         self.put_idle(addr, conn);
         Ok(answer)
     }
--- a/crates/lavenderhatch-relay/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod cancel;
 mod departures;
+mod endless_answers;
 mod endpoint_stats;
 mod leaving;
 mod limits;
--- a/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
@@ -43,6 +43,9 @@
     /// Sends a signed answer with this body once the test releases the request, unless the
     /// connection ends first.
     OnRelease(&'static str),
+    /// Sends the first text, with `{id}` replaced by the identity of the request, and then the
+    /// second one again and again until the connection ends.
+    Endless(&'static str, &'static str),
 }
 
 type ReplyRule = Box<dyn Fn(&SeenRequest) -> Reply + Send + Sync>;
@@ -58,6 +61,8 @@
     generation: AtomicUsize,
     running: AtomicUsize,
     max_running: AtomicUsize,
+    /// Bytes of the latest endless answer that were sent before its connection ended.
+    endless_bytes: AtomicUsize,
 }
 
 /// A scripted backend server that serves each connection on its own thread.
@@ -82,6 +87,7 @@
             generation: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             max_running: AtomicUsize::new(0),
+            endless_bytes: AtomicUsize::new(0),
         });
         let accept_shared = Arc::clone(&shared);
         thread::spawn(move || {
@@ -128,6 +134,12 @@
         self.shared.generation.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Waits until an endless answer has ended. Returns the bytes of it that were sent.
+    pub(crate) fn next_endless_bytes(&self) -> usize {
+        self.next_cancelled();
+        self.shared.endless_bytes.load(Ordering::SeqCst)
+    }
+
     /// Returns the largest number of requests that ran concurrently.
     pub(crate) fn max_running(&self) -> usize {
         self.shared.max_running.load(Ordering::SeqCst)
@@ -174,6 +186,16 @@
         Reply::Signed(status, body) => Some(signed(*status, body)),
         Reply::Raw(text) => Some(text.replace("{id}", id)),
         Reply::Close => None,
+        Reply::Endless(start, rest) => {
+            write_endless(
+                shared,
+                stream,
+                seen.path(),
+                &start.replace("{id}", id),
+                rest,
+            );
+            None
+        }
         Reply::OnRelease(body) => {
             wait_for_release(shared, stream, seen.path()).then(|| signed(200, body))
         }
@@ -185,6 +207,20 @@
     stream.write_all(text.as_bytes()).is_ok() && !text.contains("connection: close")
 }
 
+/// Writes an answer without end until the connection ends.
+fn write_endless(shared: &Shared, mut stream: &TcpStream, path: &str, start: &str, rest: &str) {
+    let chunk = rest.repeat(16 * 1024 / rest.len());
+    let mut sent = start.len();
+    let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+    while is_open {
+        is_open = stream.write_all(chunk.as_bytes()).is_ok();
+        sent += chunk.len();
+    }
+    shared.endless_bytes.store(sent, Ordering::SeqCst);
+    // The receiver is gone if the test has ended.
+    let _ = shared.cancelled.send(path.to_owned());
+}
+
 /// Waits until a held request is released. Returns false if its connection ends first.
 fn wait_for_release(shared: &Shared, stream: &TcpStream, path: &str) -> bool {
     let step = Duration::from_millis(5);
