Bound the receive buffer of client connections

an_endless_answer_ends_at_a_bound failed once in a run of the whole test program. Trace: 4 MiB are read of the body, and the kernel had let the receive buffer of the connection and the send buffer of the stand-in grow to several megabytes, so that more than 9.3 MB were sent. What has been received and not read counts as memory of the daemon.

A client connection now has a receive buffer of 256 KiB. The stand-in's send buffer is no memory of the daemon, so it is made small there; the bound stays.

--- a/crates/lavenderhatch-relay/src/io/connect.rs
+++ b/crates/lavenderhatch-relay/src/io/connect.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -21,11 +22,16 @@
     pub unacknowledged: Duration,
 }
 
+/// Receive buffer of a client connection, in bytes. The kernel would let it grow to several
+/// megabytes, which count as memory of the daemon, while a server sends more than is read.
+const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Connects to a server.
 pub(super) async fn connect(addr: SocketAddr, timeouts: &ClientTimeouts) -> io::Result<TcpStream> {
     let stream = timeout(timeouts.connect, TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     configure_stream_with(&stream, timeouts.unacknowledged)?;
+    SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     Ok(stream)
 }
--- a/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
@@ -8,8 +8,13 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use super::TEST_TIMEOUT;
 
+/// Send buffer of an endless answer, in bytes.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// A request that the backend server received.
 #[derive(Clone, Debug)]
 pub(crate) struct SeenRequest {
@@ -209,6 +214,9 @@
 
 /// Writes an answer without end until the connection ends.
 fn write_endless(shared: &Shared, mut stream: &TcpStream, path: &str, start: &str, rest: &str) {
+    // Bytes that wait here are no memory of the daemon.
+    let sender = SockRef::from(stream);
+    sender.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
     let chunk = rest.repeat(16 * 1024 / rest.len());
     let mut sent = start.len();
     let mut is_open = stream.write_all(start.as_bytes()).is_ok();
