--- a/crates/lavenderhatch-decide/src/retry/backoff.rs
+++ b/crates/lavenderhatch-decide/src/retry/backoff.rs
@@ -29,6 +29,11 @@
         wait.mul_f64(0.5 + random)
     }
 
+    /// Returns the number of consecutive failures.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Whether the last call has failed.
     pub fn is_failing(&self) -> bool {
         self.failures > 0
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/rate_limiter.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/rate_limiter.rs
@@ -29,7 +29,7 @@
 fn starts_stay_within_the_limit_in_any_window(#[case] rate: f64) {
     let mut limiter = RateLimiter::new(rate, NOW);
     let mut starts = Vec::new();
-    // No request arrives in the third of five seconds.
+    // No request arrives in the sixth of each seven seconds.
     for ms in (0..15_000u64).filter(|ms| !(5000..6000).contains(&(ms % 7000))) {
         let now = NOW + Duration::from_millis(ms);
         while limiter.has_token(now) {
