Use the backend server only once the recorded state is known

Cause: a daemon that was killed and started again was ready as soon as its routes were in force. A late report that arrived before the records were listed made the backend server ready, although the earlier process had acknowledged its departure. The writer then replaced the recorded departure with that report, so that it was lost for good.

Change: the state of the backend server starts as awaiting recovery.

Ruled out: the sequence numbers of reports (a late report of the recorded incarnation is refused once the record is known).

--- a/crates/lavenderhatch-decide/src/relay/backend_state.rs
+++ b/crates/lavenderhatch-decide/src/relay/backend_state.rs
@@ -49,9 +49,28 @@
 pub struct BackendState {
     last: Option<BackendReport>,
     last_report_at: Timestamp,
+    /// Whether it is still unknown what an earlier process of this daemon has recorded. No backend
+    /// server accepts requests until then.
+    awaits_recovery: bool,
 }
 
 impl BackendState {
+    /// Creates the state of a daemon that has just started.
+    ///
+    /// An earlier process may have acknowledged a departure, so a report alone does not make the
+    /// backend server ready before [`Self::recover`].
+    pub fn awaiting_recovery() -> Self {
+        Self {
+            awaits_recovery: true,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the state still waits for [`Self::recover`].
+    pub fn awaits_recovery(&self) -> bool {
+        self.awaits_recovery
+    }
+
     /// Applies a report and returns its effect.
     ///
     /// An older incarnation never replaces a newer one. An incarnation that has begun to leave
@@ -100,11 +119,13 @@
         })
     }
 
-    /// Restores the state that an earlier process of this daemon has recorded.
+    /// Restores the state that an earlier process of this daemon has recorded, if there is one.
     ///
     /// A record is no proof that the backend server still runs, so requests are sent to it only
     /// after its next report.
-    pub fn restore(&mut self, recorded: &BackendReport) {
+    pub fn recover(&mut self, recorded: Option<&BackendReport>) {
+        self.awaits_recovery = false;
+        let Some(recorded) = recorded else { return };
         let replaces_last = self.last.as_ref().is_none_or(|last| {
             let is_same = last.id == recorded.id && last.incarnation == recorded.incarnation;
             recorded.incarnation > last.incarnation || (is_same && recorded.phase > last.phase)
@@ -119,12 +140,13 @@
         self.last.as_ref()
     }
 
-    /// Returns the last report if the backend server accepts requests: it is ready and has reported
-    /// within `max_age`.
+    /// Returns the last report if the backend server accepts requests: it is ready, has reported
+    /// within `max_age`, and no record of an earlier process is awaited.
     pub fn serving(&self, max_age: Duration, now: Timestamp) -> Option<&BackendReport> {
         let last = self.last.as_ref()?;
         let is_fresh = self.last_report_at.0 > 0 && now.since(self.last_report_at) <= max_age;
-        (last.phase == BackendPhase::Ready && is_fresh).then_some(last)
+        let is_ready = last.phase == BackendPhase::Ready && !self.awaits_recovery;
+        (is_ready && is_fresh).then_some(last)
     }
 
     /// Stops using the backend server until its next report, after it has refused a connection.
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/backend_state.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/backend_state.rs
@@ -88,7 +88,7 @@
     #[case] is_serving: bool,
 ) {
     let mut state = BackendState::default();
-    state.restore(&report("a", 5, 3, recorded));
+    state.recover(Some(&report("a", 5, 3, recorded)));
     assert!(
         state.serving(REPORT_TIMEOUT, NOW).is_none(),
         "a restored record does not show that the backend server runs"
@@ -101,7 +101,7 @@
 #[test]
 fn a_record_does_not_replace_a_newer_incarnation() {
     let mut state = state_after(&[report("a", 6, 1, Ready)]);
-    state.restore(&report("a", 5, 3, Gone));
+    state.recover(Some(&report("a", 5, 3, Gone)));
     assert!(state.serving(REPORT_TIMEOUT, NOW).is_some());
 }
 
@@ -135,3 +135,21 @@
     assert!(state.serving(REPORT_TIMEOUT, NOW).is_some());
     assert_eq!(state.departure("b", None), None);
 }
+
+/// Guards against requests to a backend server whose departure an earlier process of this daemon has
+/// acknowledged: a late report may arrive before the record of the departure is known.
+#[rstest]
+#[case::no_record(None, true)]
+#[case::ready(Some(Ready), true)]
+#[case::draining(Some(Draining), false)]
+#[case::gone(Some(Gone), false)]
+fn a_restarted_daemon_serves_only_after_recovery(
+    #[case] recorded: Option<BackendPhase>,
+    #[case] serves: bool,
+) {
+    let mut state = BackendState::awaiting_recovery();
+    state.apply_report(&report("a", 5, 1, Ready), NOW);
+    assert_eq!(state.serving(REPORT_TIMEOUT, NOW), None);
+    state.recover(recorded.map(|phase| report("a", 5, 3, phase)).as_ref());
+    assert_eq!(state.serving(REPORT_TIMEOUT, NOW).is_some(), serves);
+}
