Wait for the refusal of a forwarded call a little beyond its deadline

Cause: the daemon that forwards a call stopped listening at the call's deadline. The other daemon answers by that deadline whether the call has run, but its answer is on the way then; on a busy machine it took 80 ms for a call with 40 ms. The caller was told 504 deadline-passed, outcome unknown, about a call that had surely not run.

Change: the answer to a forwarded call is awaited for 250 ms beyond the call's timeout. A peer that never answers is given up then.

Ruled out: the refusal itself being late (the peer refuses on arrival).

--- a/crates/lavenderhatch-daemon/src/peer/links.rs
+++ b/crates/lavenderhatch-daemon/src/peer/links.rs
@@ -32,6 +32,10 @@
 /// Longest wait for the answer to an update request, which may contain a whole mesh.
 const UPDATE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for which the answer to a forwarded call is awaited beyond the call's timeout. The peer
+/// answers by that timeout whether the call has run, and its answer is on its way then.
+const FORWARD_REPLY_TIME: Duration = Duration::from_millis(250);
+
 /// A command with its destination.
 struct AddressedCommand {
     addr: SocketAddr,
@@ -72,7 +76,7 @@
         let _ = self.queues[at].send(AddressedCommand { addr, command });
     }
 
-    /// Forwards a call and waits for its response.
+    /// Forwards a call and waits for its response, a short time beyond `time_left`.
     pub fn forward(
         &self,
         addr: SocketAddr,
@@ -187,7 +191,8 @@
             let result = async {
                 let mut req = connections.client(addr).await?.carry_request();
                 write_call(&call.view(), req.get().init_call());
-                let res = await_response(timeout, req.send().promise).await?;
+                let limit = timeout + FORWARD_REPLY_TIME;
+                let res = await_response(limit, req.send().promise).await?;
                 decode(res.get().and_then(|res| res.get_answer()), read_response)
             };
             send_reply(&done, addr, result.await);
--- a/crates/lavenderhatch-daemon/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod admission_gate;
 mod audit_publisher;
 mod backend;
+mod forwarding;
 mod headers;
 mod leaving;
 mod metrics;
