Know the retry budget when the first retry is decided

Cause: the capacity of a daemon's retry budget was set once a second, by the number of daemons known then. Before the first such run it held one retry, so that a second lost answer was final; a run before the records were loaded gave the daemon the burst of all daemons for up to a second, as after a start.

Change: the capacity follows from the number of daemons when a retry is decided. A retry needs an endpoint, so the records are loaded by then.

Ruled out: the suspension of the failing backend server (it is over by design when the second request comes).

--- a/crates/lavenderhatch-relay/src/exchange/router.rs
+++ b/crates/lavenderhatch-relay/src/exchange/router.rs
@@ -75,6 +75,7 @@
     caller_service: HeaderValue,
     backend: LocalBackend,
     peers: PeerClient,
+    /// Full, of unit capacity, until the first retry sets its capacity.
     retry_budget: RefCell<RetryBudget>,
     /// Mean service times by request class, over all backend servers.
     service_times: RefCell<ServiceTimes>,
@@ -152,14 +153,21 @@
         base.mul_f64(0.5 + self.random_fraction())
     }
 
-    /// Closes connections that have been idle for too long, and adapts the retry budget to the
-    /// number of daemons.
+    /// Closes connections that have been idle for too long.
     pub(crate) fn run_maintenance(&self) {
         self.backend.close_expired();
         self.peers.close_expired();
+    }
+
+    /// Takes a retry from the budget of this daemon, an equal part of the budget of all daemons.
+    /// Returns whether one was left.
+    fn withdraw_retry(&self) -> bool {
+        // A retry needs an endpoint, so the number of daemons is known here, unlike at the start.
         let daemons = self.blackboard.endpoints.load().daemon_count.max(1) as f64;
         let burst = self.cfg.retry_burst * RETRY_BURST_SHARE / daemons;
-        self.retry_budget.borrow_mut().set_capacity(burst.max(1.0));
+        let mut budget = self.retry_budget.borrow_mut();
+        budget.set_capacity(burst.max(1.0));
+        budget.withdraw()
     }
 
     fn route(&self, request: CallerRequest) -> Result<(Arc<HostRoute>, Call), Failure> {
@@ -269,7 +277,7 @@
             debug!(id = call.id(), ?end, ?step, "origin: attempt ended");
             match step {
                 NextStep::Finish => return result,
-                NextStep::Retry if !self.retry_budget.borrow_mut().withdraw() => return result,
+                NextStep::Retry if !self.withdraw_retry() => return result,
                 NextStep::Retry => self.metrics.retries.inc(),
                 NextStep::PlaceElsewhere => {}
             }
--- a/crates/lavenderhatch-relay/tests/testsuite/retries.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/retries.rs
@@ -1,5 +1,7 @@
 //! Which requests are retried.
 
+use lavenderhatch_relay::EndpointSnapshot;
+
 use super::support::{Backend, Mesh, Reply, RouteSpec};
 
 fn failing_and_healthy_backends(reply: Reply) -> ([Backend; 2], Mesh) {
@@ -65,6 +67,31 @@
     assert!(retries <= 40 + 10, "{retries} retries");
 }
 
+/// Guards against a daemon that has just started and takes the retries of all daemons for itself. It
+/// learns how many there are some time after its ports are open.
+#[test]
+fn the_retry_budget_follows_the_number_of_daemons() {
+    let backends = [(); 2].map(|()| Backend::bind(|_| Reply::Signed(500, "")));
+    let mesh = Mesh::spawn(&[&backends[0], &backends[1]], &[RouteSpec::SAFE]);
+    let daemon = &mesh.daemons[0];
+    let mut caller = daemon.caller();
+    caller.get("/nowhere/1");
+    assert_eq!(caller.read().unwrap().status, 404);
+    let mut snapshot = EndpointSnapshot::clone(&daemon.writers.endpoints.load());
+    snapshot.daemon_count = 10;
+    daemon.writers.endpoints.publish(snapshot);
+    let requests = 30;
+    for at in 0..requests {
+        caller.get(&format!("/safe/{at}"));
+        assert_eq!(caller.read().unwrap().status, 500);
+    }
+    let arrivals: usize = backends.iter().map(Backend::seen_count).sum();
+    let retries = arrivals - requests;
+    // One of ten daemons has one retry of the burst of 20, half of which is for its attempts. The
+    // retry ratio adds a tenth of the requests.
+    assert!((1..=4).contains(&retries), "{retries} retries");
+}
+
 /// Guards against telling the caller "not run" because the last attempt was refused, although the
 /// request ran in an earlier attempt.
 #[test]
