Let all requests run before the first one ends in a test of slots

Cause of the failures: the test released each request as soon as a backend server had it.

Change: the test releases requests only after all eight run, four at each backend server. It is as strict: each slot must be taken while no other one is freed.

--- a/crates/lavenderhatch-relay/tests/testsuite/limits.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/limits.rs
@@ -83,10 +83,13 @@
     for (at, caller) in callers.iter_mut().enumerate() {
         caller.get(&format!("/safe/{at}"));
     }
-    for backend in &backends {
-        for _ in 0..4 {
-            backend.release(backend.next_seen().path());
-        }
+    // No request ends before all run: a freed slot may rightly get one of the others.
+    let running = backends.each_ref().map(|backend| {
+        let requests = (0..4).map(|_| backend.next_seen());
+        requests.map(|seen| seen.path().to_owned()).collect()
+    });
+    for (backend, paths) in backends.iter().zip::<[Vec<String>; 2]>(running) {
+        paths.iter().for_each(|path| backend.release(path));
     }
     for caller in &mut callers {
         assert_eq!(caller.read().unwrap().status, 200);
