Count the reported load of a backend server in full

Cause: an answer tells the load without its own request, but that request still counted as outstanding when the load of others was worked out. Each known load was one request too low, and a full backend server looked as if it had a free slot, so that a refused request went back there to wait.

Change: the request of the answer no longer counts when its load is recorded. The model of relay_load records in the same order.

Ruled out: stale loads (the report is of the refusal itself).

Figures: a_reported_load_counts_in_full failed before.

--- a/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
@@ -493,7 +493,6 @@
         let now = Timestamp(self.now);
         let daemon = &mut self.daemons[req.daemon];
         let stats = &daemon.stats[req.server];
-        stats.end_request();
         let mut had_no_free_slot = false;
         let (end, retry_after) = match outcome {
             AttemptOutcome::Ran { took, mean, load } => {
@@ -539,6 +538,7 @@
                 )
             }
         };
+        stats.end_request();
         match had_no_free_slot {
             true => req.full_servers.push(req.server),
             false => req.tried_servers.push(req.server),
--- a/crates/lavenderhatch-relay/src/blackboard/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/src/blackboard/endpoint_stats.rs
@@ -98,9 +98,12 @@
         self.outstanding.load(Relaxed) + others as u32
     }
 
-    /// Records the number of requests at the backend server, including those of this daemon.
+    /// Records the number of requests at the backend server, including those of this daemon, as an
+    /// answer has told it. The request of that answer has ended there, but is still outstanding
+    /// here.
     pub fn record_load(&self, total: u32, now: Timestamp) {
-        let others = total.saturating_sub(self.outstanding.load(Relaxed));
+        let outstanding = self.outstanding.load(Relaxed).saturating_sub(1);
+        let others = total.saturating_sub(outstanding);
         self.load_from_others.store(others, Relaxed);
         self.load_reported_at.store(now.0, Relaxed);
     }
--- a/crates/lavenderhatch-relay/tests/testsuite/endpoint_stats.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/endpoint_stats.rs
@@ -31,3 +31,16 @@
         stats.relative_service_time()
     );
 }
+
+/// Guards against a full backend server that looks as if it had a free slot. The answer that tells
+/// its load is of a request that no longer counts there.
+#[test]
+fn a_reported_load_counts_in_full() {
+    let stats = EndpointStats::default();
+    // Two requests of this daemon and two of others run there; a third one of this daemon is
+    // refused.
+    (0..3).for_each(|_| stats.begin_request());
+    stats.record_load(4, NOW);
+    stats.end_request();
+    assert_eq!(stats.load(NOW), 4);
+}
