Fill the lowest versions of restarted members in the replay test

Cause: the map of the lowest version that a restarted member may put in force first was read and never written, so its check could not fail.

Change: a restart writes it: the highest version that the member held and that another running member still holds. A test with a member that starts with an older version shows that the check fails.

--- a/crates/lavenderhatch-decide/tests/testsuite/replay.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/replay.rs
@@ -158,8 +158,9 @@
         let known = self.running().filter(|other| *other != n);
         let known = known.map(|other| self.held(other)).max();
         let before = self.highest.get(&n).copied().unwrap_or(Version::NONE);
-        self.highest
-            .insert(n, before.min(known.unwrap_or(Version::NONE)));
+        let floor = before.min(known.unwrap_or(Version::NONE));
+        self.highest.insert(n, floor);
+        self.floors.insert(n, floor);
         self.fleet.add(n);
     }
 
@@ -210,3 +211,19 @@
         replay.check_versions(at + 2);
     }
 }
+
+/// Guards against a check that cannot fail: a restarted member that puts an older version in force
+/// than it held before, although another member still has that one, must be found.
+#[test]
+#[should_panic(expected = "and started with")]
+fn a_restart_with_an_older_version_is_found() {
+    let mut replay = Replay::new(Fleet::start(2, 1));
+    for version in 1..=2 {
+        (0..2).for_each(|n| replay.fleet.put_in_force(n, version));
+    }
+    replay.check_versions(1);
+    replay.apply(&Event::Kill { members: vec![0] });
+    replay.apply(&Event::Restart { members: vec![0] });
+    replay.fleet.put_in_force(0, 1);
+    replay.check_versions(2);
+}
