Announce that a daemon serves only with a configuration

Cause: lavenderhatchd announced the state serving from its start. Peers forwarded calls to a daemon that had no configuration yet, did not know its own planned stops and refused them with not-ready.

Change: a daemon announces the state starting until its first configuration is in force, and wakes its membership controller then. Only serving members are endpoints.

--- a/crates/lavenderhatch-daemon/src/controller/membership.rs
+++ b/crates/lavenderhatch-daemon/src/controller/membership.rs
@@ -12,7 +12,7 @@
 use lavenderhatch_core::blackboard::{SectionReader, SectionWriter};
 use lavenderhatch_core::drain::Drains;
 use lavenderhatch_core::member::Members;
-use lavenderhatch_core::{ConfigSnapshot, MemberRecord, NodeId, Timestamp, Version};
+use lavenderhatch_core::{ConfigSnapshot, MemberRecord, MemberState, NodeId, Timestamp, Version};
 use lavenderhatch_decide::membership::{HeldVersion, MemberEvent, Membership};
 use lavenderhatch_decide::message::Hello;
 use tracing::{debug, info};
@@ -114,6 +114,7 @@
     fn run(mut self, stop: &Receiver<()>) {
         let ticks = tick(TICK_INTERVAL);
         let drains_changed = self.cx.drains.subscribe();
+        let config_changed = self.cx.config.subscribe();
         self.publish();
         loop {
             select! {
@@ -140,6 +141,7 @@
                     Err(_) => return,
                 },
                 recv(drains_changed) -> _ => self.tick(),
+                recv(config_changed) -> _ => self.tick(),
                 recv(ticks) -> _ => self.tick(),
             }
             if self.publish_trigger() != self.published_trigger {
@@ -242,11 +244,14 @@
 
     /// Updates the state and the slots in the member record of this daemon.
     ///
-    /// A daemon announces that it serves from its start. Until a configuration is in force, it
-    /// refuses calls that peers forward, with the error kind `not-ready`.
+    /// A daemon announces that it serves only once a configuration is in force. Until then it does
+    /// not know its own planned stops, and refuses calls that peers forward.
     fn update_own(&mut self, now: Timestamp) {
         let config = self.cx.config.load();
-        let state = self.cx.drains.load().local_state();
+        let state = match (self.cx.drains.load().local_state(), config.is_some()) {
+            (MemberState::Serving, false) => MemberState::Starting,
+            (state, _) => state,
+        };
         let service = self.state.own_record().service.as_str();
         let services = config
             .as_ref()
--- a/crates/lavenderhatch-daemon/src/daemon.rs
+++ b/crates/lavenderhatch-daemon/src/daemon.rs
@@ -228,6 +228,6 @@
         peer_addr: settings.peer_addr,
         admin_addr: settings.admin_addr,
         slots: u32::from(DEFAULT_SLOTS),
-        state: MemberState::Serving,
+        state: MemberState::Starting,
     }
 }
--- a/tests/testsuite/distribution.rs
+++ b/tests/testsuite/distribution.rs
@@ -150,6 +150,29 @@
     });
 }
 
+/// Guards against calls that are forwarded to a daemon without a configuration. It does not know its
+/// own planned stops and refuses them.
+#[test]
+fn a_daemon_announces_that_it_serves_with_its_first_configuration() {
+    let cluster = Cluster::start(&["orders", "orders"]);
+    let all_are = |state: &str| {
+        let nodes = cluster.nodes.iter().map(|node| {
+            let status = node.status()?;
+            let members = status["members"].as_array()?.clone();
+            let are_in_state = members.iter().all(|m| m["record"]["state"] == *state);
+            (members.len() == 2 && are_in_state).then_some(())
+        });
+        nodes.collect::<Option<Vec<()>>>()
+    };
+    poll(FAILOVER_LIMIT, "two starting members", || {
+        all_are("starting")
+    });
+    cluster.apply(&mesh(1));
+    poll(CONVERGENCE_LIMIT, "two serving members", || {
+        all_are("serving")
+    });
+}
+
 /// Guards against a corrupt root object that is applied, that is missing from the audit trail, or
 /// that blocks later versions.
 #[test]
