Serve the requests that are on their way when the ports close

Cause: the accept loop chose at random between a waiting connection and the end of the ports, and dropped the listener with established connections in its queue, which resets them. A connection without a request so far was closed at once, with the request that its caller had just sent.

Change: connections that the kernel has established are accepted before the listener is dropped. A connection on which a request is on its way, which is new or has bytes to read, stays open for another 250 ms.

--- a/crates/lavenderhatch-relay/src/exchange/connection.rs
+++ b/crates/lavenderhatch-relay/src/exchange/connection.rs
@@ -10,9 +10,11 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tracing::debug;
 
 use crate::io::ServerStream;
+use crate::lifecycle::LAST_REQUEST_TIME;
 
 /// The other side has closed the connection and does not expect an answer.
 #[derive(Debug, thiserror::Error)]
@@ -24,7 +26,8 @@
 
 /// Serves the requests of a connection one after the other.
 ///
-/// Once the ports are closed, the connection ends after the request in progress.
+/// Once the ports are closed, the connection ends after the request in progress, or after one that
+/// is on its way.
 pub(super) async fn serve_connection<F: Future<Output = ServeResult>>(
     builder: &http1::Builder,
     stream: ServerStream,
@@ -41,11 +44,12 @@
             res
         }
     });
+    let shutdown_stream = stream.clone();
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let served = tokio::select! {
         served = conn.as_mut() => served,
-        _ = closed.wait_for(|is_closed| *is_closed) => {
+        () = wait_for_shutdown(&shutdown_stream, &mut closed) => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -54,3 +58,12 @@
         debug!(error = %err, "port: connection failed");
     }
 }
+
+/// Waits until the ports are closed and no request is on its way.
+async fn wait_for_shutdown(stream: &ServerStream, closed: &mut watch::Receiver<bool>) {
+    // An error means that the ports are gone, which ends the connection as well.
+    let _ = closed.wait_for(|is_closed| *is_closed).await;
+    if stream.has_undelivered_request() {
+        sleep(LAST_REQUEST_TIME).await;
+    }
+}
--- a/crates/lavenderhatch-relay/src/io/listener.rs
+++ b/crates/lavenderhatch-relay/src/io/listener.rs
@@ -57,7 +57,8 @@
     socket.set_tcp_user_timeout(Some(timeout))
 }
 
-/// Accepts connections until the ports are closed.
+/// Accepts connections until the ports are closed, and those that the kernel has established by
+/// then. They may already have sent a request.
 pub(crate) async fn accept_loop<F: Future<Output = ()> + 'static>(
     listener: StdListener,
     mut closed: watch::Receiver<bool>,
@@ -67,7 +68,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|is_closed| *is_closed) => return Ok(()),
+            _ = closed.wait_for(|is_closed| *is_closed) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -79,4 +80,10 @@
             }
         }
     }
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        tokio::task::spawn_local(serve(TcpStream::from_std(stream)?));
+    }
+    Ok(())
 }
--- a/crates/lavenderhatch-relay/src/io/server_stream.rs
+++ b/crates/lavenderhatch-relay/src/io/server_stream.rs
@@ -52,6 +52,8 @@
     is_awaiting_answer: bool,
     /// Whether the length of the last request is ambiguous.
     has_ambiguous_length: bool,
+    /// Whether any byte was delivered.
+    has_delivered: bool,
     is_closed: bool,
 }
 
@@ -114,8 +116,13 @@
 
     /// Whether the other side has closed the connection and nothing is left to read.
     fn has_reached_end(&self) -> bool {
+        matches!(self.peek(), Ok(0))
+    }
+
+    /// Returns whether the socket has a byte to read: one if so, zero at the end of the connection.
+    fn peek(&self) -> io::Result<usize> {
         let mut byte = [MaybeUninit::uninit()];
-        matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(0))
+        SockRef::from(&self.stream).peek(&mut byte)
     }
 
     /// Reads ahead of the request in progress.
@@ -159,6 +166,7 @@
     }
 
     fn deliver(&mut self, count: usize, buf: &mut ReadBuf<'_>) {
+        self.has_delivered |= count > 0;
         let count = count.min(buf.remaining());
         buf.put_slice(&self.buf[..count]);
         self.buf.advance(count);
@@ -193,6 +201,7 @@
             reported_bytes: 0,
             is_awaiting_answer: false,
             has_ambiguous_length: false,
+            has_delivered: false,
             is_closed: false,
         })))
     }
@@ -202,6 +211,13 @@
         self.0.borrow_mut().is_awaiting_answer = false;
     }
 
+    /// Whether a request is expected or has arrived that was not delivered: the connection is new,
+    /// or its socket has bytes to read.
+    pub(crate) fn has_undelivered_request(&self) -> bool {
+        let shared = self.0.borrow();
+        !shared.has_delivered || !shared.buf.is_empty() || matches!(shared.peek(), Ok(1..))
+    }
+
     /// Whether the length of the request in progress is ambiguous.
     pub(crate) fn has_ambiguous_length(&self) -> bool {
         self.0.borrow().has_ambiguous_length
--- a/crates/lavenderhatch-relay/src/lifecycle.rs
+++ b/crates/lavenderhatch-relay/src/lifecycle.rs
@@ -2,10 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
 
 use lavenderhatch_core::drain::{InFlightCounter, InFlightGuard};
 use tokio::sync::watch;
 
+/// Time for which a connection stays open after the ports are closed if a request is on its way on
+/// it, which covers the way of a request from a caller that has just connected.
+pub const LAST_REQUEST_TIME: Duration = Duration::from_millis(250);
+
 /// Drain state of the daemon and its count of requests in flight.
 #[derive(Debug)]
 pub struct Lifecycle {
@@ -60,7 +65,8 @@
         self.in_flight.count()
     }
 
-    /// Closes the ports: no new connections are accepted, and idle ones are closed.
+    /// Closes the ports: no new connections are accepted, and idle ones are closed. Connections on
+    /// which a request is on its way stay open for [`LAST_REQUEST_TIME`].
     pub fn close_ports(&self) {
         self.ports_closed.send_replace(true);
     }
