Do not use a connection again after an answer to another request

Cause: a backend server that sends a second copy of an answer late is one answer behind on that connection from then on. The daemon noticed by the request's identity that an answer was not its own, but kept the connection, so that each further request on it failed. A refusal without an identity was taken for the refusal of the present request even on a used connection, where it may be a late answer to an earlier one: the caller was told that a request had not run which was running.

Change: a connection is reused only after an answer with the identity of its request, and a refusal without identity counts only as the first answer on a connection.

Ruled out: answers that break off, chunked, with a length, and without one where the connection is reset; new cases show that they never become a success.

--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -19,7 +19,9 @@
 use crate::admission_gate::{AdmissionGate, ServiceTimeSample};
 use crate::blackboard::Blackboard;
 use crate::config::HeaderNames;
-use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
+use crate::io::{
+    ClientAnswer, ClientError, ClientPool, ClientTimeouts, ExchangeOptions, UNACKNOWLEDGED_TIMEOUT,
+};
 use crate::monotonic_clock::MonotonicClock;
 
 /// Timeout for a connection to the backend server, which is on the same machine.
@@ -93,13 +95,15 @@
             true => IDLE_LIMIT,
             false => NON_IDEMPOTENT_IDLE_LIMIT,
         };
-        let (parts, body) = self
-            .pool
-            .exchange(self.addr, req, max_idle, MAX_ANSWER_BYTES)
-            .await
-            .map_err(|err| self.failure_from(&err))?;
+        let options = ExchangeOptions {
+            max_idle,
+            max_bytes: MAX_ANSWER_BYTES,
+            is_reusable: |parts: &Parts| self.has_identity_of(call, parts),
+        };
+        let answered = self.pool.exchange(self.addr, req, options).await;
+        let answer = answered.map_err(|err| self.failure_from(&err))?;
         let times = permit.finish(&call.demand);
-        self.check_answer(call, &backend, parts, body, times)
+        self.check_answer(call, &backend, answer, times)
     }
 
     /// Returns the name of the header with the identity of a request.
@@ -182,22 +186,32 @@
         }
     }
 
+    /// Whether an answer carries the identity of this request.
+    fn has_identity_of(&self, call: &Call, parts: &Parts) -> bool {
+        let id = parts.headers.get(&self.headers.request_id);
+        id.is_some_and(|id| *id == call.request_id)
+    }
+
     /// Checks that an answer is the backend server's complete answer to this request.
     fn check_answer(
         &self,
         call: &Call,
         backend: &BackendReport,
-        mut parts: Parts,
-        body: Bytes,
+        answer: ClientAnswer,
         times: ServiceTimeSample,
     ) -> AttemptResult {
+        let ClientAnswer {
+            mut parts,
+            body,
+            is_first,
+        } = answer;
         let names = &self.headers;
-        let is_answer_to_call = match parts.headers.get(&names.request_id) {
-            Some(id) => id == call.request_id,
-            // A backend server that refuses a request without reading it sends no identity.
-            None => !parts.status.is_success(),
-        };
-        if !is_answer_to_call {
+        // A backend server that refuses a request without reading it sends no identity. On a
+        // connection that was used before, this may be a late answer to an earlier request.
+        let is_refusal_unread = is_first
+            && !parts.status.is_success()
+            && !parts.headers.contains_key(&names.request_id);
+        if !self.has_identity_of(call, &parts) && !is_refusal_unread {
             return Err(outcome_unknown("the answer belongs to another request"));
         }
         self.apply_departure(backend, &parts);
--- a/crates/lavenderhatch-relay/src/exchange/peer_client.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::http::response::Parts;
 use lavenderhatch_core::ErrorKind;
 
 use super::attempt::{AttemptResult, BackendAnswer, Failure, MAX_ANSWER_BYTES};
@@ -12,7 +13,9 @@
 use super::hop_headers::remove_hop_headers;
 use super::peer_headers::{read_failure, read_load, read_times, write_call};
 use crate::blackboard::Endpoint;
-use crate::io::{ClientError, ClientPool, ClientTimeouts, UNACKNOWLEDGED_TIMEOUT};
+use crate::io::{
+    ClientAnswer, ClientError, ClientPool, ClientTimeouts, ExchangeOptions, UNACKNOWLEDGED_TIMEOUT,
+};
 use crate::monotonic_clock::MonotonicClock;
 
 /// Timeout for a connection to another daemon. Packets travel between the zones of a region in a
@@ -44,13 +47,15 @@
     pub(crate) async fn run(&self, call: &Call, endpoint: &Endpoint) -> AttemptResult {
         let req = self.request(call);
         let start = self.clock.now();
-        let answered = self
-            .pool
-            .exchange(endpoint.addr, req, IDLE_LIMIT, MAX_ANSWER_BYTES);
-        let (mut parts, body) = match answered.await {
-            Ok(answer) => answer,
-            Err(err) => return Err(self.failure_from(&err, endpoint)),
+        let options = ExchangeOptions {
+            max_idle: IDLE_LIMIT,
+            max_bytes: MAX_ANSWER_BYTES,
+            is_reusable: |_: &Parts| true,
         };
+        let answered = self.pool.exchange(endpoint.addr, req, options).await;
+        let ClientAnswer {
+            mut parts, body, ..
+        } = answered.map_err(|err| self.failure_from(&err, endpoint))?;
         if let Some(load) = read_load(&parts.headers) {
             endpoint.stats.record_load(load, self.clock.now());
         }
--- a/crates/lavenderhatch-relay/src/io.rs
+++ b/crates/lavenderhatch-relay/src/io.rs
@@ -11,7 +11,7 @@
 
 pub use client_conn::ClientConn;
 pub use client_error::ClientError;
-pub use client_pool::ClientPool;
+pub use client_pool::{ClientAnswer, ClientPool, ExchangeOptions};
 pub use connect::ClientTimeouts;
 pub use listener::bind_listener;
 
--- a/crates/lavenderhatch-relay/src/io/client_pool.rs
+++ b/crates/lavenderhatch-relay/src/io/client_pool.rs
@@ -21,6 +21,30 @@
     since: Instant,
 }
 
+/// The whole answer to a request.
+#[derive(Debug)]
+pub struct ClientAnswer {
+    /// Status and headers.
+    pub parts: Parts,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the connection had carried no other request, so that the answer cannot be a late one
+    /// to an earlier request.
+    pub is_first: bool,
+}
+
+/// What a request asks of its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeOptions<R> {
+    /// Longest time for which a reused connection may have been idle.
+    pub max_idle: Duration,
+    /// Maximum number of bytes of the answer's body.
+    pub max_bytes: usize,
+    /// Whether the connection may be used again after an answer with this head. After an answer to
+    /// another request, the answers on a connection are one behind its requests.
+    pub is_reusable: R,
+}
+
 /// A pool of client connections, used by one thread.
 #[derive(Debug)]
 pub struct ClientPool {
@@ -37,20 +61,17 @@
         }
     }
 
-    /// Sends a request and reads its whole answer of at most `max_bytes` bytes.
+    /// Sends a request and reads its whole answer.
     ///
-    /// Reuses a connection that has been idle for at most `max_idle`, or opens a new one. If a
-    /// reused connection has ended before the request was sent, another one is used. Dropping the
-    /// future closes the connection.
+    /// Reuses a connection, or opens a new one. If a reused connection has ended before the request
+    /// was sent, another one is used. Dropping the future closes the connection.
     pub async fn exchange(
         &self,
         addr: SocketAddr,
         req: OutgoingRequest,
-        max_idle: Duration,
-        max_bytes: usize,
-    ) -> Result<(Parts, Bytes), ClientError> {
-        let exchange = self.exchange_with_progress(addr, req, max_idle, max_bytes, || ());
-        exchange.await
+        options: ExchangeOptions<impl Fn(&Parts) -> bool>,
+    ) -> Result<ClientAnswer, ClientError> {
+        self.exchange_with_progress(addr, req, options, || ()).await
     }
 
     /// Does the same as [`Self::exchange`], and calls `on_progress` whenever a part of the answer
@@ -59,22 +80,26 @@
         &self,
         addr: SocketAddr,
         req: OutgoingRequest,
-        max_idle: Duration,
-        max_bytes: usize,
+        options: ExchangeOptions<impl Fn(&Parts) -> bool>,
         on_progress: impl Fn(),
-    ) -> Result<(Parts, Bytes), ClientError> {
+    ) -> Result<ClientAnswer, ClientError> {
         let mut req = req;
-        while let Some(conn) = self.take_idle(addr, max_idle) {
-            let exchange = self.exchange_on(conn, addr, req, max_bytes, &on_progress);
+        while let Some(conn) = self.take_idle(addr, options.max_idle) {
+            let exchange = self.exchange_on(conn, addr, req, &options, &on_progress);
             match exchange.await {
                 Err((err, Some(unsent))) if err.is_not_sent() => req = unsent,
-                result => return result.map_err(|(err, _)| err),
+                Err((err, _)) => return Err(err),
+                Ok(answer) => {
+                    return Ok(ClientAnswer {
+                        is_first: false,
+                        ..answer
+                    });
+                }
             }
         }
         let conn = ClientConn::connect(addr, &self.timeouts).await?;
-        let exchange = self.exchange_on(conn, addr, req, max_bytes, &on_progress);
-        let result = exchange.await;
-        result.map_err(|(err, _)| err)
+        let exchange = self.exchange_on(conn, addr, req, &options, &on_progress);
+        exchange.await.map_err(|(err, _)| err)
     }
 
     /// Closes connections that have been idle for too long.
@@ -91,15 +116,21 @@
         mut conn: ClientConn,
         addr: SocketAddr,
         req: OutgoingRequest,
-        max_bytes: usize,
+        options: &ExchangeOptions<impl Fn(&Parts) -> bool>,
         on_progress: &impl Fn(),
-    ) -> Result<(Parts, Bytes), (ClientError, Option<OutgoingRequest>)> {
+    ) -> Result<ClientAnswer, (ClientError, Option<OutgoingRequest>)> {
         let res = conn.send(req).await?;
         on_progress();
-        let answer = conn.read_body(res, max_bytes, on_progress).await;
-        let answer = answer.map_err(|err| (err, None))?;
-        self.put_idle(addr, conn);
-        Ok(answer)
+        let answer = conn.read_body(res, options.max_bytes, on_progress).await;
+        let (parts, body) = answer.map_err(|err| (err, None))?;
+        if (options.is_reusable)(&parts) {
+            self.put_idle(addr, conn);
+        }
+        Ok(ClientAnswer {
+            parts,
+            body,
+            is_first: true,
+        })
     }
 
     fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<ClientConn> {
--- a/crates/lavenderhatch-relay/src/lib.rs
+++ b/crates/lavenderhatch-relay/src/lib.rs
@@ -40,7 +40,10 @@
 };
 pub use config::{HeaderNames, RelayConfig};
 pub use http_server::{HttpRequest, HttpResponse, serve_http};
-pub use io::{ClientConn, ClientError, ClientPool, ClientTimeouts, bind_listener};
+pub use io::{
+    ClientAnswer, ClientConn, ClientError, ClientPool, ClientTimeouts, ExchangeOptions,
+    bind_listener,
+};
 pub use lifecycle::{LAST_REQUEST_TIME, Lifecycle};
 pub use logging::init_logging;
 pub use metrics::Metrics;
--- a/crates/lavenderhatch-relay/tests/testsuite/answers.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/answers.rs
@@ -24,6 +24,10 @@
     "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nsignature: s\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhi",
     502
 )]
+#[case::chunked_and_cut_short(
+    "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nsignature: s\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n",
+    502
+)]
 #[case::no_http("garbage\r\n\r\n", 502)]
 #[case::unclear_refusal(
     "HTTP/1.1 503 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 0\r\n\r\n",
@@ -46,6 +50,71 @@
     assert_eq!(res.header("signature").is_some(), status == 500);
 }
 
+/// Guards against an answer without a length that is taken for complete although its connection was
+/// reset. Only an orderly end of the connection ends such an answer.
+#[rstest]
+#[case::ended(Reply::Raw(UNFRAMED), 200)]
+#[case::reset(Reply::Reset(UNFRAMED), 502)]
+#[case::reset_before_the_body_ends(Reply::Reset(CUT_SHORT), 502)]
+fn an_answer_that_is_broken_off_is_no_success(#[case] reply: Reply, #[case] status: u16) {
+    let backend = Backend::bind(move |_| reply.clone());
+    let other = Backend::hello();
+    // Once as the daemon of the backend server, and once through it.
+    let mesh = Mesh::spawn(&[&backend, &other], &[RouteSpec::ONCE]);
+    mesh.drain_backend(1);
+    for daemon in &mesh.daemons {
+        let mut caller = daemon.caller();
+        caller.post("/once/1", "order");
+        assert_eq!(caller.read().map(|res| res.status), Some(status));
+    }
+}
+
+const UNFRAMED: &str =
+    "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nsignature: s\r\nconnection: close\r\n\r\nhi";
+const CUT_SHORT: &str =
+    "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 9\r\n\r\nhi";
+
+/// Guards against an answer that reaches another caller. A backend server sends a second copy of an
+/// answer late, on a connection that is in use again; from then on its answers there are one
+/// behind.
+#[test]
+fn a_late_copy_of_an_answer_reaches_nobody() {
+    let copy =
+        "HTTP/1.1 200 X\r\nrequest-id: id/safe/1\r\nsignature: s\r\ncontent-length: 5\r\n\r\nfirst";
+    let backend = Backend::bind(move |seen| match seen.path() {
+        "/safe/1" | "/safe/2" => Reply::Raw(copy),
+        _ => Reply::Signed(200, "own"),
+    });
+    let mesh = Mesh::single(&backend);
+    let mut caller = mesh.daemons[0].caller();
+    caller.get("/safe/1");
+    assert_eq!(caller.read().unwrap().body, "first");
+    caller.get("/safe/2");
+    assert_eq!(caller.read().unwrap().status, 502);
+    caller.get("/safe/3");
+    assert_eq!(caller.read().unwrap().body, "own");
+    let from: Vec<_> = (0..3).map(|_| backend.next_seen().from).collect();
+    assert_eq!(from[0], from[1]);
+    assert_ne!(from[1], from[2], "the connection is not used again");
+}
+
+/// Guards against the promise that a request has not run because of a refusal that is a late answer
+/// to an earlier request. A refusal without an identity counts only as the first answer.
+#[test]
+fn a_refusal_without_identity_on_a_used_connection_is_no_promise() {
+    let refusal = "HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let backend = Backend::bind(move |seen| match seen.path() {
+        "/safe/1" => Reply::Signed(200, "first"),
+        _ => Reply::Raw(refusal),
+    });
+    let mesh = Mesh::single(&backend);
+    let mut caller = mesh.daemons[0].caller();
+    for (path, status) in [("/safe/1", 200), ("/safe/2", 502), ("/safe/3", 503)] {
+        caller.get(path);
+        assert_eq!(caller.read().unwrap().status, status, "{path}");
+    }
+}
+
 /// Guards against taking the bytes after an answer for the answer to the next request.
 #[test]
 fn extra_bytes_behind_an_answer_reach_nobody() {
--- a/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/backend.rs
@@ -15,12 +15,17 @@
 /// Send buffer of an endless answer, in bytes.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Time that the daemon has to read a part of an answer before the connection is reset.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+
 /// A request that the backend server received.
 #[derive(Clone, Debug)]
 pub(crate) struct SeenRequest {
     pub(crate) line: String,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Address of the daemon's end of the connection.
+    pub(crate) from: Option<SocketAddr>,
 }
 
 impl SeenRequest {
@@ -43,6 +48,9 @@
     /// Sends these bytes, with `{id}` replaced by the identity of the request, and closes the
     /// connection if they contain `connection: close`.
     Raw(&'static str),
+    /// Sends these bytes, with `{id}` replaced by the identity of the request, and resets the
+    /// connection once the daemon has read them.
+    Reset(&'static str),
     /// Closes the connection without an answer.
     Close,
     /// Sends a signed answer with this body once the test releases the request, unless the
@@ -191,6 +199,10 @@
         Reply::Signed(status, body) => Some(signed(*status, body)),
         Reply::Raw(text) => Some(text.replace("{id}", id)),
         Reply::Close => None,
+        Reply::Reset(text) => {
+            write_and_reset(stream, &text.replace("{id}", id));
+            None
+        }
         Reply::Endless(start, rest) => {
             write_endless(
                 shared,
@@ -212,6 +224,16 @@
     stream.write_all(text.as_bytes()).is_ok() && !text.contains("connection: close")
 }
 
+/// Writes a part of an answer and resets the connection. Bytes that the daemon has not read yet
+/// would be lost with it, so the reset waits until they were acknowledged.
+fn write_and_reset(mut stream: &TcpStream, text: &str) {
+    let written = stream.write_all(text.as_bytes());
+    std::thread::park_timeout(RESET_DELAY);
+    let socket = SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+    written.unwrap();
+}
+
 /// Writes an answer without end until the connection ends.
 fn write_endless(shared: &Shared, mut stream: &TcpStream, path: &str, start: &str, rest: &str) {
     // Bytes that wait here are no memory of the daemon.
@@ -268,6 +290,7 @@
         line,
         headers,
         body: Vec::new(),
+        from: reader.get_ref().peer_addr().ok(),
     };
     let length = seen
         .header("content-length")
--- a/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
@@ -178,7 +178,12 @@
     /// Drains the backend server of the first daemon, which then forwards all requests to the
     /// others.
     pub(crate) fn drain_first_backend(&self) {
-        self.daemons[0].report(BackendPhase::Draining, 2);
+        self.drain_backend(0);
+    }
+
+    /// Drains the backend server of one daemon, which then forwards all requests to the others.
+    pub(crate) fn drain_backend(&self, at: usize) {
+        self.daemons[at].report(BackendPhase::Draining, 2);
     }
 }
 
