--- a/crates/lavenderhatch-relay/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod endpoint_stats;
 mod leaving;
 mod limits;
+mod malformed;
 mod pipeline;
 mod rate_limits;
 mod retries;
