--- a/crates/lavenderhatch-decide/src/retry.rs
+++ b/crates/lavenderhatch-decide/src/retry.rs
@@ -4,9 +4,9 @@
 mod backoff;
 mod budget;
 mod failed_attempt;
-mod hedged_read;
+mod hedged_call;
 
 pub use backoff::Backoff;
 pub use budget::RetryTokens;
 pub use failed_attempt::{FailedAttempt, RetryCost, retry_cost};
-pub use hedged_read::HedgedRead;
+pub use hedged_call::HedgedCall;
--- a/crates/lavenderhatch-decide/src/retry/hedged_read.rs
+++ b/crates/lavenderhatch-decide/src/retry/hedged_call.rs
@@ -1,19 +1,21 @@
-//! Decision when a read without a response is repeated.
+//! Decision when a call without a response is repeated.
 
 use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
 
-/// Maximum number of calls of one read that are in progress at the same time.
+/// Maximum number of copies of one call that are in progress at the same time.
 const MAX_CALLS: u32 = 6;
 
-/// A read that is repeated on another connection while none of its calls makes progress.
+/// A call that is repeated on another connection while none of its copies makes progress.
 ///
-/// The earlier calls stay in progress, so a slow server still answers. The first response counts.
+/// The earlier copies stay in progress, so a slow server still answers. The first response counts.
+/// The call may take effect more than once, so it is a read or a write with a precondition that the
+/// first effect ends.
 /// While a response arrives, no further call starts, because on a small link the calls would slow
 /// each other down.
 #[derive(Clone, Copy, Debug)]
-pub struct HedgedRead {
+pub struct HedgedCall {
     /// Time without progress after which the next call starts.
     delay: Duration,
     /// Calls in progress, at most [`MAX_CALLS`].
@@ -22,8 +24,8 @@
     last_progress: Timestamp,
 }
 
-impl HedgedRead {
-    /// Starts a read with its first call.
+impl HedgedCall {
+    /// Starts the first copy.
     pub fn start(delay: Duration, now: Timestamp) -> Self {
         Self {
             delay,
--- a/crates/lavenderhatch-decide/tests/testsuite/hedged_read.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/hedged_call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
-use lavenderhatch_decide::retry::HedgedRead;
+use lavenderhatch_decide::retry::HedgedCall;
 
 const HEDGE_DELAY: Duration = Duration::from_millis(500);
 
@@ -11,7 +11,7 @@
 #[test]
 fn a_read_without_a_response_is_repeated() {
     let start = Timestamp(1000);
-    let mut read = HedgedRead::start(HEDGE_DELAY, start);
+    let mut read = HedgedCall::start(HEDGE_DELAY, start);
     assert!(!read.start_next_call(start + Duration::from_millis(499)));
     assert!(read.start_next_call(start + HEDGE_DELAY));
     assert_eq!(
@@ -26,7 +26,7 @@
 #[test]
 fn a_read_is_not_repeated_while_its_response_arrives() {
     let mut now = Timestamp(1000);
-    let mut read = HedgedRead::start(HEDGE_DELAY, now);
+    let mut read = HedgedCall::start(HEDGE_DELAY, now);
     for _ in 0..10 {
         now = now + Duration::from_millis(400);
         assert!(!read.start_next_call(now));
@@ -39,7 +39,7 @@
 #[test]
 fn the_calls_of_a_read_are_bounded() {
     let mut now = Timestamp(1000);
-    let mut read = HedgedRead::start(HEDGE_DELAY, now);
+    let mut read = HedgedCall::start(HEDGE_DELAY, now);
     let mut calls = 1;
     for _ in 0..100 {
         now = now + HEDGE_DELAY;
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -9,7 +9,7 @@
 mod distribution;
 mod endpoints;
 mod explain;
-mod hedged_read;
+mod hedged_call;
 mod limit;
 mod member_fixture;
 mod membership;
