Take the third-longest deadline as that of first attempts

Cause: waited for three requests that allow exactly the same time.

Change: the third-longest time of a class counts. One or two odd requests do not change it, and different times do not hide it.

--- a/crates/lavenderhatch-decide/src/relay/first_attempt_estimator.rs
+++ b/crates/lavenderhatch-decide/src/relay/first_attempt_estimator.rs
@@ -6,49 +6,12 @@
 /// Maximum number of request classes that are kept. Route names change with configuration versions,
 /// so all classes are dropped when the limit is reached.
 const MAX_CLASSES: usize = 1024;
-/// Number of requests that must allow the same time before it counts as that of first attempts. A
-/// single request that allows more must not make all others look like late retries.
-const MIN_SIGHTINGS: u32 = 3;
-/// Number of requests within which a longer time must be seen that often.
-const SIGHTING_WINDOW: u32 = 16;
+/// Number of requests that must allow a time, or more, before it counts as that of first attempts.
+/// A single request that allows more must not make all others look like late retries.
+const MIN_SIGHTINGS: usize = 3;
 
-/// A longer time that some request has allowed.
-#[derive(Clone, Copy, Debug, Default)]
-struct LongerTime {
-    allowed: Duration,
-    /// Requests that allowed this time.
-    sightings: u32,
-    /// Requests that allowed more than the longest time of the class since the first sighting.
-    requests: u32,
-}
-
-/// Longest time that requests of a class allow.
-#[derive(Clone, Copy, Debug, Default)]
-struct LongestTime {
-    /// `None` before enough requests have allowed the same time.
-    allowed: Option<Duration>,
-    longer: LongerTime,
-}
-
-impl LongestTime {
-    fn record(&mut self, allowed: Duration) {
-        if self.allowed.is_some_and(|longest| allowed <= longest) {
-            return;
-        }
-        let is_expired = self.longer.requests >= SIGHTING_WINDOW;
-        if is_expired || allowed > self.longer.allowed {
-            self.longer = LongerTime {
-                allowed,
-                ..LongerTime::default()
-            };
-        }
-        self.longer.requests += 1;
-        self.longer.sightings += u32::from(allowed == self.longer.allowed);
-        if self.longer.sightings >= MIN_SIGHTINGS {
-            self.allowed = Some(self.longer.allowed);
-        }
-    }
-}
+/// The longest times that requests of a class have allowed, in descending order.
+type LongestTimes = [Duration; MIN_SIGHTINGS];
 
 /// Estimates the time since the first attempt from the longest time allowed for each request class.
 ///
@@ -58,7 +21,7 @@
 /// before they queue, and they must not take slots from requests that can still be on time.
 #[derive(Clone, Debug, Default)]
 pub struct FirstAttemptEstimator {
-    longest_by_class: HashMap<u64, LongestTime>,
+    longest_by_class: HashMap<u64, LongestTimes>,
 }
 
 impl FirstAttemptEstimator {
@@ -69,8 +32,10 @@
             self.longest_by_class.clear();
         }
         let longest = self.longest_by_class.entry(class).or_default();
-        longest.record(allowed);
-        let longest = longest.allowed.unwrap_or_default();
-        longest.saturating_sub(allowed)
+        if let Some(at) = longest.iter().position(|known| allowed > *known) {
+            longest[at..].rotate_right(1);
+            longest[at] = allowed;
+        }
+        longest[MIN_SIGHTINGS - 1].saturating_sub(allowed)
     }
 }
