--- a/crates/lavenderhatch-relay/src/exchange/peer_client.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_client.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request};
 use lavenderhatch_core::ErrorKind;
 
 use super::attempt::{AttemptResult, BackendAnswer, Failure, MAX_ANSWER_BYTES};
@@ -14,8 +13,10 @@
 use super::peer_headers::{read_failure, read_load, read_times, write_call};
 use crate::blackboard::Endpoint;
 use crate::io::{
-    ClientAnswer, ClientError, ClientPool, ClientTimeouts, ExchangeOptions, UNACKNOWLEDGED_TIMEOUT,
+    ClientAnswer, ClientError, ClientPool, ClientTimeouts, ExchangeOptions, OutgoingRequest,
+    UNACKNOWLEDGED_TIMEOUT,
 };
+use crate::metrics::{Metrics, PeerTraffic};
 use crate::monotonic_clock::MonotonicClock;
 
 /// Timeout for a connection to another daemon. Packets travel between the zones of a region in a
@@ -29,16 +30,24 @@
 pub(crate) struct PeerClient {
     pool: ClientPool,
     clock: MonotonicClock,
+    /// Availability zone of this daemon.
+    zone: String,
+    metrics: Metrics,
 }
 
 impl PeerClient {
-    pub(crate) fn new(clock: MonotonicClock) -> Self {
+    pub(crate) fn new(clock: MonotonicClock, zone: &str, metrics: Metrics) -> Self {
         let pool = ClientPool::new(ClientTimeouts {
             connect: CONNECT_TIMEOUT,
             idle: IDLE_LIMIT,
             unacknowledged: UNACKNOWLEDGED_TIMEOUT,
         });
-        Self { pool, clock }
+        Self {
+            pool,
+            clock,
+            zone: zone.to_owned(),
+            metrics,
+        }
     }
 
     /// Forwards a request and reads its answer.
@@ -46,6 +55,23 @@
     /// Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call, endpoint: &Endpoint) -> AttemptResult {
         let req = self.request(call);
+        let mut traffic = PeerTraffic {
+            is_remote: endpoint.zone != self.zone,
+            outcome: "failed",
+            sent: bytes_of(req.headers(), &call.body),
+            received: 0,
+        };
+        let result = self.exchange(req, endpoint, &mut traffic).await;
+        self.metrics.record_peer_traffic(&traffic);
+        result
+    }
+
+    async fn exchange(
+        &self,
+        req: OutgoingRequest,
+        endpoint: &Endpoint,
+        traffic: &mut PeerTraffic,
+    ) -> AttemptResult {
         let start = self.clock.now();
         let options = ExchangeOptions {
             max_idle: IDLE_LIMIT,
@@ -59,9 +85,12 @@
         if let Some(load) = read_load(&parts.headers) {
             endpoint.stats.record_load(load, self.clock.now());
         }
+        traffic.received = bytes_of(&parts.headers, &body);
         let Some(times) = read_times(&parts.headers) else {
+            traffic.outcome = "refused";
             return Err(read_failure(&parts.headers, &body));
         };
+        traffic.outcome = "answered";
         remove_hop_headers(&mut parts.headers);
         Ok(BackendAnswer {
             status: parts.status,
@@ -82,7 +111,7 @@
         self.pool.close_expired();
     }
 
-    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+    fn request(&self, call: &Call) -> OutgoingRequest {
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.target.clone();
@@ -102,3 +131,11 @@
         }
     }
 }
+
+/// Returns the size of a message without its first line and framing.
+fn bytes_of(headers: &HeaderMap, body: &[u8]) -> usize {
+    let headers = headers.iter();
+    let of_headers =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    of_headers.sum::<usize>() + body.len()
+}
--- a/crates/lavenderhatch-relay/src/io.rs
+++ b/crates/lavenderhatch-relay/src/io.rs
@@ -15,5 +15,6 @@
 pub use connect::ClientTimeouts;
 pub use listener::bind_listener;
 
+pub(crate) use client_conn::OutgoingRequest;
 pub(crate) use listener::{UNACKNOWLEDGED_TIMEOUT, accept_loop, configure_stream};
 pub(crate) use server_stream::{ReadAhead, ServerStream};
--- a/crates/lavenderhatch-relay/src/metrics.rs
+++ b/crates/lavenderhatch-relay/src/metrics.rs
@@ -20,6 +20,20 @@
     failures: IntCounterVec,
     /// Retries of requests, each on another backend server.
     pub(crate) retries: IntCounter,
+    peer_bytes: IntCounterVec,
+}
+
+/// What an attempt at another daemon sent and received.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerTraffic {
+    /// Whether the daemon is in another availability zone.
+    pub(crate) is_remote: bool,
+    /// How the attempt ended: `answered`, `refused` or `failed`.
+    pub(crate) outcome: &'static str,
+    /// Bytes of the request, without framing.
+    pub(crate) sent: usize,
+    /// Bytes of the answer, without framing.
+    pub(crate) received: usize,
 }
 
 impl Metrics {
@@ -45,7 +59,15 @@
             "lavenderhatch_retries_total",
             "Requests that were sent once more to another backend server",
         )?;
+        let peer_bytes = IntCounterVec::new(
+            Opts::new(
+                "lavenderhatch_peer_bytes_total",
+                "Bytes of requests to other daemons and of their answers",
+            ),
+            &["zone", "direction", "outcome"],
+        )?;
         registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(peer_bytes.clone()))?;
         registry.register(Box::new(failures.clone()))?;
         registry.register(Box::new(retries.clone()))?;
         Ok(Self {
@@ -53,6 +75,7 @@
             latency,
             failures,
             retries,
+            peer_bytes,
         })
     }
 
@@ -66,6 +89,19 @@
         self.failures.with_label_values(&[kind.as_str()]).inc();
     }
 
+    pub(crate) fn record_peer_traffic(&self, traffic: &PeerTraffic) {
+        let zone = match traffic.is_remote {
+            true => "remote",
+            false => "local",
+        };
+        for (direction, bytes) in [("sent", traffic.sent), ("received", traffic.received)] {
+            let labels = [zone, direction, traffic.outcome];
+            self.peer_bytes
+                .with_label_values(&labels)
+                .inc_by(bytes as u64);
+        }
+    }
+
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> prometheus::Result<String> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
