Cross zones only for what the own zone cannot serve in time

Cause: the choice of a backend server knew neither the bytes of an exchange nor whether another zone was needed. The own zone was preferred up to 75% of its slots and half of the target, so that a zone with a slow backend server sent a third of its requests away although it could serve them, and refused requests crossed zones again and again under load.

Change: the bytes of a class are learnt. From 2 KB on a request stays while its own zone answers within three quarters of the time to the target, waiting included; one that is late everywhere crosses only for a free slot, and a full backend server elsewhere is left alone for 60 ms. Shorter ones, the calls of running requests, cross when their own zone has little room: a failed call wastes the run of its parent.

The case nearly_full of choose_backend.rs expected a request to cross at 11 of 12 slots with most of its time left; that is what the change ends. It is replaced by full (stays) and long_queue (crosses).

--- a/crates/lavenderhatch-bench/src/bin/relay_load/pattern.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/pattern.rs
@@ -32,6 +32,8 @@
     pub(crate) worth: f64,
     /// Worth of an answer after the target.
     pub(crate) late_worth: f64,
+    /// Bytes of a request and its answer.
+    pub(crate) bytes: f64,
     /// Number of calls of the kind [`CALL_KIND`] that the request makes while it holds its slot.
     pub(crate) calls: u32,
     /// Requests per second and backend server, zero for calls.
@@ -61,6 +63,7 @@
         timeout: ms(1200),
         worth: 1.4,
         late_worth: 0.28,
+        bytes: 6000.0,
         calls: 2,
         rate: 11.0,
     },
@@ -76,6 +79,7 @@
         timeout: ms(1500),
         worth: 1.5,
         late_worth: 0.75,
+        bytes: 5400.0,
         calls: 0,
         rate: 4.5,
     },
@@ -91,6 +95,7 @@
         timeout: ms(3000),
         worth: 0.37,
         late_worth: 0.28,
+        bytes: 6000.0,
         calls: 0,
         rate: 3.8,
     },
@@ -106,6 +111,7 @@
         timeout: ms(600),
         worth: 0.0,
         late_worth: 0.0,
+        bytes: 1000.0,
         calls: 0,
         rate: 0.0,
     },
--- a/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
+++ b/crates/lavenderhatch-bench/src/bin/relay_load/simulation.rs
@@ -6,7 +6,7 @@
 
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_decide::relay::{
-    AttemptEnd, Attempts, Candidate, Demand, FirstAttemptEstimator, NextStep, RetryBudget,
+    AttemptEnd, Attempts, Candidate, Demand, FirstAttemptEstimator, Need, NextStep, RetryBudget,
     ServiceTimes, choose_backend, may_wait, next_step,
 };
 use lavenderhatch_relay::EndpointStats;
@@ -334,8 +334,11 @@
                 let candidates: Vec<Candidate> = available.iter().map(candidate).collect();
                 let target = req.demand.target_at.since(now).as_secs_f64();
                 let random = &mut self.random;
-                choose_backend(&candidates, service / target, || random.next_u64())
-                    .map(|at| available[at])
+                let need = Need {
+                    service_share: service / target,
+                    bytes: KINDS[req.kind].bytes,
+                };
+                choose_backend(&candidates, &need, || random.next_u64()).map(|at| available[at])
             }
         }
     }
--- a/crates/lavenderhatch-decide/src/relay.rs
+++ b/crates/lavenderhatch-decide/src/relay.rs
@@ -5,6 +5,7 @@
 //! - [`SlotQueue`]: which request gets the next free slot of a backend server, and which is
 //!   refused.
 //! - [`choose_backend()`]: which backend server a request is sent to.
+//! - [`ExchangeSizes`]: how many bytes a request and its answer are expected to have.
 //! - [`may_wait`]: whether an attempt may wait for a slot or must try another backend server first.
 //! - [`next_step()`]: whether a request is retried after an attempt has ended.
 //! - [`RateLimiter`]: how many requests may start in a second at a backend server in need.
@@ -13,6 +14,7 @@
 mod backend_state;
 mod choose_backend;
 mod demand;
+mod exchange_sizes;
 mod first_attempt_estimator;
 mod next_step;
 mod rank_loads;
@@ -22,8 +24,9 @@
 mod slot_queue;
 
 pub use backend_state::{BackendPhase, BackendReport, BackendState, ReportEffect};
-pub use choose_backend::{Candidate, choose_backend};
+pub use choose_backend::{Candidate, Need, choose_backend};
 pub use demand::Demand;
+pub use exchange_sizes::ExchangeSizes;
 pub use first_attempt_estimator::FirstAttemptEstimator;
 pub use next_step::{AttemptEnd, Attempts, NextStep, may_wait, next_step};
 pub use rate_limiter::RateLimiter;
--- a/crates/lavenderhatch-decide/tests/testsuite/relay.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay.rs
@@ -2,6 +2,7 @@
 
 mod backend_state;
 mod choose_backend;
+mod crossing;
 mod first_attempt_estimator;
 mod long_requests;
 mod next_step;
--- a/crates/lavenderhatch-relay/src/exchange/router.rs
+++ b/crates/lavenderhatch-relay/src/exchange/router.rs
@@ -10,8 +10,8 @@
 use lavenderhatch_core::routing::HostRoute;
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{
-    AttemptEnd, Attempts, Candidate, Demand, FirstAttemptEstimator, NextStep, RetryBudget,
-    ServiceTimes, choose_backend, may_wait, next_step,
+    AttemptEnd, Attempts, Candidate, Demand, ExchangeSizes, FirstAttemptEstimator, Need, NextStep,
+    RetryBudget, ServiceTimes, choose_backend, may_wait, next_step,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -39,8 +39,14 @@
 const MIN_OVERLOAD_BACKOFF: Duration = Duration::from_millis(10);
 /// Longest backoff from a backend server that had no free slot.
 const MAX_OVERLOAD_BACKOFF: Duration = Duration::from_millis(60);
+/// Backoff from a backend server in another zone that had no free slot. Each request that is sent
+/// there and refused has crossed zones for nothing.
+const REMOTE_FULL_BACKOFF: Duration = Duration::from_millis(60);
 /// Backoff from a backend server that accepts no requests.
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(100);
+/// Bytes of the heads of a request and its answer between two daemons, as they are counted for the
+/// cost of crossing zones.
+const HEAD_BYTES: usize = 900;
 /// Retry delay that callers are advised of when no backend server of a service accepts requests.
 const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -80,6 +86,7 @@
     /// Mean service times by request class, over all backend servers.
     service_times: RefCell<ServiceTimes>,
     first_attempt_estimator: RefCell<FirstAttemptEstimator>,
+    exchange_sizes: RefCell<ExchangeSizes>,
     random: RefCell<Pcg64Mcg>,
     log: RequestLog,
 }
@@ -89,16 +96,18 @@
         let caller_service = HeaderValue::from_str(&cfg.service);
         let log = RequestLog::new(backend.blackboard.clone(), metrics.clone());
         let ratio = cfg.retry_ratio * RETRY_RATIO_SHARE;
+        let peers = PeerClient::new(backend.clock, &cfg.zone, metrics.clone());
         Self {
             blackboard: backend.blackboard.clone(),
             clock: backend.clock,
             metrics,
             caller_service: caller_service.unwrap_or_else(|_| HeaderValue::from_static("")),
-            peers: PeerClient::new(backend.clock),
+            peers,
             backend,
             retry_budget: RefCell::new(RetryBudget::new(ratio, 1.0)),
             service_times: RefCell::default(),
             first_attempt_estimator: RefCell::default(),
+            exchange_sizes: RefCell::default(),
             random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             log,
             cfg: cfg.clone(),
@@ -313,6 +322,9 @@
             Ok(answer) => {
                 let stats = &endpoint.stats;
                 let is_failure = answer.status.is_server_error();
+                let bytes = HEAD_BYTES + call.body.len() + answer.body.len();
+                let mut sizes = self.exchange_sizes.borrow_mut();
+                sizes.record(call.demand.class, bytes);
                 stats.record_result(is_failure, now);
                 if is_failure {
                     // Failures are often quick and would make the backend server look fast.
@@ -326,7 +338,13 @@
                 );
             }
             Err(failure) if failure.has_arrived => endpoint.stats.record_result(true, now),
-            Err(_) if found_no_free_slot(call, result) => {}
+            Err(_) if found_no_free_slot(call, result) => {
+                if endpoint.zone != self.cfg.zone && self.need_of(call, now).is_dear() {
+                    let priority = call.demand.priority;
+                    let until = now + REMOTE_FULL_BACKOFF;
+                    endpoint.stats.suspend_for_rank(priority, until);
+                }
+            }
             Err(failure) if failure.kind == ErrorKind::Overloaded => {
                 let backoff =
                     (failure.retry_after / 2).clamp(MIN_OVERLOAD_BACKOFF, MAX_OVERLOAD_BACKOFF);
@@ -361,12 +379,20 @@
             }
         };
         let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
-        let mean_service_time = mean_service_time.as_secs_f64();
-        let target = call.demand.target_at.since(now).as_secs_f64();
-        let index = choose_backend(&candidates, mean_service_time / target, || self.random())?;
+        let need = self.need_of(call, now);
+        let index = choose_backend(&candidates, &need, || self.random())?;
         Some(Arc::clone(&endpoints[index]))
     }
 
+    fn need_of(&self, call: &Call, now: Timestamp) -> Need {
+        let service_time = self.service_times.borrow().of(call.demand.class);
+        let time_to_target = call.demand.target_at.since(now);
+        Need {
+            service_share: service_time.as_secs_f64() / time_to_target.as_secs_f64(),
+            bytes: self.exchange_sizes.borrow().of(call.demand.class),
+        }
+    }
+
     fn random(&self) -> u64 {
         self.random.borrow_mut().next_u64()
     }
