Learn of newer versions from other daemons

Cause: a watch that the store ignores on a connection that still works shows only at its end, up to 28 s later. Until then the daemon has an old version in force, although every other daemon may have the new one.

Change: daemons tell their version with each request and each answer between them. One that is behind another for a quarter of the apply deadline lists anew. The watches of all daemons together end at a fixed rate, twice a second, up to 25 s for each, so that one of them shows what a store has missed to tell all of them; their calls do not grow with the number of daemons.

Weighed: shorter watches for all (calls grow with the fleet), a second connection for each daemon (twice the calls). The message costs about 30 bytes.

--- a/crates/lavenderhatch-decide/src/distribution.rs
+++ b/crates/lavenderhatch-decide/src/distribution.rs
@@ -10,6 +10,7 @@
 mod puller;
 mod readers;
 mod transfer_limiter;
+mod watch_wait;
 
 pub use coalescing_delay::coalescing_delay;
 pub use delta_log::{DELTA_LOG_CAPACITY, DeltaLog};
@@ -17,3 +18,4 @@
 pub use puller::{Pull, PullResult, Puller};
 pub use readers::{READERS_PER_ZONE, ReaderRole, reader_backoff, reader_role, zone_readers};
 pub use transfer_limiter::{MAX_TRANSFERS, TransferLimiter};
+pub use watch_wait::{MAX_WATCH_WAIT, watch_wait};
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -20,3 +20,4 @@
 mod retry;
 mod stops;
 mod support;
+mod watch_wait;
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/crossing.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/crossing.rs
@@ -5,6 +5,8 @@
 use lavenderhatch_decide::relay::{Candidate, Need, choose_backend};
 use rstest::rstest;
 
+use crate::support::Random;
+
 const SLOTS: u32 = 18;
 const SERVICE_MS: u64 = 90;
 const TARGET_MS: u64 = 250;
@@ -48,19 +50,6 @@
     }
 }
 
-/// Pseudo-random numbers of a linear congruential generator.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6364136223846793005)
-            .wrapping_add(1442695040888963407);
-        self.0.rotate_left(32)
-    }
-}
-
 /// Plays arrivals in each zone, in requests per second, with a backend server for each relative
 /// service time. Returns the share of the requests that crossed zones, and the longest latency.
 fn play(zones: [&[f64]; 3], rates: [f64; 3]) -> (f64, u64) {
@@ -80,7 +69,7 @@
         servers.iter_mut().for_each(|server| server.step(now));
         for (zone, rate) in rates.iter().enumerate() {
             // About one arrival per millisecond at most.
-            if (random.next() as f64 / u64::MAX as f64) >= rate / 1000.0 {
+            if random.fraction() >= rate / 1000.0 {
                 continue;
             }
             let candidate = |server: &Server| Candidate {
--- a/crates/lavenderhatch-relay/src/blackboard.rs
+++ b/crates/lavenderhatch-relay/src/blackboard.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod endpoint_snapshot;
 mod endpoint_stats;
+mod newest_version;
 
 use std::sync::Arc;
 
@@ -17,6 +18,7 @@
 pub use endpoint::Endpoint;
 pub use endpoint_snapshot::EndpointSnapshot;
 pub use endpoint_stats::EndpointStats;
+pub use newest_version::NewestVersion;
 
 /// Read access to every section.
 ///
@@ -33,6 +35,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Departure that answers of the local backend server announce.
     pub announced_departure: Arc<AnnouncedDeparture>,
+    /// Newest configuration version that other daemons have in force.
+    pub newest_version: Arc<NewestVersion>,
 }
 
 /// The writer of each section.
@@ -47,6 +51,12 @@
 }
 
 impl Blackboard {
+    /// Returns the configuration version in force, zero before the first one.
+    pub fn version(&self) -> u64 {
+        let routing = self.routing.load();
+        routing.as_ref().as_ref().map_or(0, |table| table.version)
+    }
+
     /// Creates an empty blackboard and the writers of its sections.
     pub fn new() -> (Self, SectionWriters) {
         let (routing, routing_reader) = section(None);
@@ -58,6 +68,7 @@
             backend: backend_reader,
             lifecycle: Arc::default(),
             announced_departure: Arc::default(),
+            newest_version: Arc::default(),
         };
         let writers = SectionWriters {
             routing,
--- a/crates/lavenderhatch-relay/src/exchange/peer_client.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_client.rs
@@ -10,8 +10,10 @@
 use super::attempt::{AttemptResult, BackendAnswer, Failure, MAX_ANSWER_BYTES};
 use super::call::Call;
 use super::hop_headers::remove_hop_headers;
-use super::peer_headers::{read_failure, read_load, read_times, write_call};
-use crate::blackboard::Endpoint;
+use super::peer_headers::{
+    read_failure, read_load, read_times, read_version, write_call, write_version,
+};
+use crate::blackboard::{Blackboard, Endpoint};
 use crate::io::{
     ClientAnswer, ClientError, ClientPool, ClientTimeouts, ExchangeOptions, OutgoingRequest,
     UNACKNOWLEDGED_TIMEOUT,
@@ -30,13 +32,19 @@
 pub(crate) struct PeerClient {
     pool: ClientPool,
     clock: MonotonicClock,
+    blackboard: Blackboard,
     /// Availability zone of this daemon.
     zone: String,
     metrics: Metrics,
 }
 
 impl PeerClient {
-    pub(crate) fn new(clock: MonotonicClock, zone: &str, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        clock: MonotonicClock,
+        blackboard: Blackboard,
+        zone: &str,
+        metrics: Metrics,
+    ) -> Self {
         let pool = ClientPool::new(ClientTimeouts {
             connect: CONNECT_TIMEOUT,
             idle: IDLE_LIMIT,
@@ -45,6 +53,7 @@
         Self {
             pool,
             clock,
+            blackboard,
             zone: zone.to_owned(),
             metrics,
         }
@@ -82,6 +91,9 @@
         let ClientAnswer {
             mut parts, body, ..
         } = answered.map_err(|err| self.failure_from(&err, endpoint))?;
+        if let Some(version) = read_version(&parts.headers) {
+            self.blackboard.newest_version.report(version);
+        }
         if let Some(load) = read_load(&parts.headers) {
             endpoint.stats.record_load(load, self.clock.now());
         }
@@ -117,6 +129,7 @@
         *req.uri_mut() = call.target.clone();
         *req.headers_mut() = call.headers.clone();
         write_call(call, req.headers_mut(), self.clock.now());
+        write_version(req.headers_mut(), self.blackboard.version());
         req
     }
 
--- a/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -32,6 +32,8 @@
 const MEAN_SERVICE_TIME: &str = "lavenderhatch-mean-service-us";
 /// Time that the request spent at the backend server's daemon, in microseconds.
 const AT_DAEMON: &str = "lavenderhatch-at-daemon-us";
+/// Configuration version that the sender has in force, zero if none.
+const VERSION: &str = "lavenderhatch-version";
 /// Whether the request may wait for a slot.
 const MAY_WAIT: &str = "lavenderhatch-may-wait";
 
@@ -79,6 +81,16 @@
     })
 }
 
+/// Adds the configuration version that this daemon has in force.
+pub(super) fn write_version(headers: &mut HeaderMap, version: u64) {
+    insert(headers, VERSION, &version.to_string());
+}
+
+/// Reads the configuration version that the other daemon has in force, if present.
+pub(super) fn read_version(headers: &HeaderMap) -> Option<u64> {
+    read(headers, VERSION)
+}
+
 /// Adds the load of the backend server to an answer.
 pub(super) fn write_load(headers: &mut HeaderMap, load: u32) {
     insert(headers, LOAD, &load.to_string());
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -20,7 +20,8 @@
 use super::hop_headers::remove_hop_headers;
 use super::local_backend::LocalBackend;
 use super::peer_headers::{
-    AnswerTimes, ForwardedCall, read_call, write_failure, write_load, write_times,
+    AnswerTimes, ForwardedCall, read_call, read_version, write_failure, write_load, write_times,
+    write_version,
 };
 use super::port::Port;
 use super::request_log::RequestLog;
@@ -46,6 +47,9 @@
             let failure = Failure::before_arrival(ErrorKind::Leaving, "this daemon is leaving");
             return Ok(self.respond(Err(failure)));
         };
+        if let Some(version) = read_version(req.headers()) {
+            self.backend.blackboard.newest_version.report(version);
+        }
         let now = self.backend.clock.now();
         let Some(forwarded) = read_call(req.headers(), now) else {
             let reason = "a header of the hand-over is missing";
@@ -118,6 +122,7 @@
             }
         };
         write_load(res.headers_mut(), self.backend.gate.load());
+        write_version(res.headers_mut(), self.backend.blackboard.version());
         res
     }
 }
--- a/crates/lavenderhatch-relay/src/exchange/router.rs
+++ b/crates/lavenderhatch-relay/src/exchange/router.rs
@@ -96,7 +96,8 @@
         let caller_service = HeaderValue::from_str(&cfg.service);
         let log = RequestLog::new(backend.blackboard.clone(), metrics.clone());
         let ratio = cfg.retry_ratio * RETRY_RATIO_SHARE;
-        let peers = PeerClient::new(backend.clock, &cfg.zone, metrics.clone());
+        let blackboard = backend.blackboard.clone();
+        let peers = PeerClient::new(backend.clock, blackboard, &cfg.zone, metrics.clone());
         Self {
             blackboard: backend.blackboard.clone(),
             clock: backend.clock,
--- a/crates/lavenderhatch-relay/src/lib.rs
+++ b/crates/lavenderhatch-relay/src/lib.rs
@@ -36,7 +36,8 @@
 
 pub use admission_gate::{AdmissionGate, Permit, ServiceTimeSample};
 pub use blackboard::{
-    AnnouncedDeparture, Blackboard, Endpoint, EndpointSnapshot, EndpointStats, SectionWriters,
+    AnnouncedDeparture, Blackboard, Endpoint, EndpointSnapshot, EndpointStats, NewestVersion,
+    SectionWriters,
 };
 pub use config::{HeaderNames, RelayConfig};
 pub use http_server::{HttpRequest, HttpResponse, serve_http};
