Count the distance for short requests too

Cause: the addition for a remote zone grew with the bytes from zero, so that short calls went to slightly faster backend servers in other zones, and the requests that made them took longer.

Change: it begins at that of 4 KB.

--- a/crates/lavenderhatch-decide/src/relay/choose_backend.rs
+++ b/crates/lavenderhatch-decide/src/relay/choose_backend.rs
@@ -1,8 +1,8 @@
 //! Choice of the backend server for a request.
 
-/// Addition to the cost of a backend server in a remote zone, as a fraction, for an exchange of
-/// [`DEAR_BYTES`]. Traffic between zones is paid for by the byte, so a remote backend server must be
-/// clearly better. Grows with the bytes, up to twice this.
+/// Addition to the cost of a backend server in a remote zone, as a fraction, for an exchange of up
+/// to [`DEAR_BYTES`]. Traffic between zones takes time and is paid for by the byte, so a remote
+/// backend server must be clearly better. Grows with the bytes, up to twice this.
 const REMOTE_ZONE_COST: f64 = 0.35;
 /// Bytes of a request and its answer that are dear to send to another zone.
 const DEAR_BYTES: f64 = 4096.0;
@@ -93,7 +93,7 @@
         let distance = if self.is_in_local_zone {
             1.0
         } else {
-            1.0 + REMOTE_ZONE_COST * (bytes / DEAR_BYTES).min(2.0)
+            1.0 + REMOTE_ZONE_COST * (bytes / DEAR_BYTES).clamp(1.0, 2.0)
         };
         let time = self.relative_service_time * (1.0 + queue) + self.relative_delay;
         time * distance / success.powi(FAILURE_EXPONENT)
