--- a/crates/lavenderhatch-decide/src/relay/choose_backend.rs
+++ b/crates/lavenderhatch-decide/src/relay/choose_backend.rs
@@ -177,8 +177,8 @@
 
 /// Chooses the available candidate with the lowest cost, and returns its position.
 ///
-/// A request with many bytes crosses zones only if no candidate in the local zone answers in time, or, when no
-/// candidate does, if none there has a free slot. `None` if it would only be refused.
+/// A request with many bytes crosses zones only if no candidate in the local zone answers in time,
+/// or, when no candidate does, if none there has a free slot. `None` if it would only be refused.
 /// `random` returns uniformly distributed numbers.
 pub fn choose_backend(
     candidates: &[Candidate],
--- a/crates/lavenderhatch-relay/src/exchange.rs
+++ b/crates/lavenderhatch-relay/src/exchange.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod hop_headers;
 mod local_backend;
+mod outstanding_request;
 mod peer_client;
 mod peer_headers;
 mod peer_port;
--- a/crates/lavenderhatch-relay/src/exchange/attempt.rs
+++ b/crates/lavenderhatch-relay/src/exchange/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 use lavenderhatch_core::ErrorKind;
-use lavenderhatch_decide::relay::AttemptEnd;
+use lavenderhatch_decide::relay::{AttemptEnd, Attempts};
 
 use super::call::Call;
 
@@ -13,6 +13,9 @@
 /// send bytes without end in each of its slots.
 pub(super) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Retry delay that callers are advised of when no backend server of a service accepts requests.
+const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The answer of a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendAnswer {
@@ -63,6 +66,26 @@
         }
     }
 
+    /// Creates the failure of a request for a service none of whose backend servers can take it.
+    pub(crate) fn no_backend(service: &str) -> Self {
+        Self {
+            retry_after: NO_BACKEND_RETRY_AFTER,
+            ..Self::before_arrival(
+                ErrorKind::NoBackend,
+                format!("no backend server of {service} takes requests"),
+            )
+        }
+    }
+
+    /// Creates the failure of a request whose time has run out.
+    pub(crate) fn timed_out(attempts: Attempts) -> Self {
+        let reason = "the deadline or the route's timeout has passed";
+        match attempts.placed {
+            0 => Self::before_arrival(ErrorKind::DeadlineUnmeetable, reason),
+            _ => Self::after_arrival(ErrorKind::DeadlinePassed, reason),
+        }
+    }
+
     /// Returns how the attempt ended, as input to the decision on the next step.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self.kind.is_not_run() {
@@ -77,6 +100,9 @@
 /// The result of an attempt.
 pub(crate) type AttemptResult = Result<BackendAnswer, Failure>;
 
+/// The final result of a caller's request.
+pub(crate) type RequestResult = AttemptResult;
+
 /// Returns how an attempt ended and whether the request reached a backend server.
 pub(super) fn attempt_end(result: &AttemptResult) -> (AttemptEnd, bool) {
     match result {
--- a/crates/lavenderhatch-relay/src/exchange/call.rs
+++ b/crates/lavenderhatch-relay/src/exchange/call.rs
@@ -1,4 +1,4 @@
-//! The request that attempts send to backend servers.
+//! The request that a caller sends, and what attempts send to backend servers.
 
 use std::time::Duration;
 
@@ -8,6 +8,16 @@
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_decide::relay::Demand;
 
+/// A request that the caller port has read.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Timestamp,
+}
+
 /// A request on its way to a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -17,11 +17,12 @@
 use tokio::time::timeout;
 use tracing::debug;
 
-use super::attempt::Failure;
+use super::attempt::{Failure, RequestResult};
+use super::call::CallerRequest;
 use super::connection::{Disconnected, ServeResult, serve_connection};
 use super::pipeline::Pipeline;
 use super::port::Port;
-use super::router::{CallerRequest, RequestResult, Router};
+use super::router::Router;
 use crate::blackboard::Blackboard;
 use crate::io::{ReadAhead, ServerStream, configure_stream};
 
--- a/crates/lavenderhatch-relay/src/exchange/pipeline.rs
+++ b/crates/lavenderhatch-relay/src/exchange/pipeline.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Uri};
 use tokio::task::JoinHandle;
 
-use super::router::RequestResult;
+use super::attempt::RequestResult;
 
 /// Largest number of pipelined requests in progress on one connection.
 const MAX_PIPELINED_REQUESTS: usize = 16;
--- a/crates/lavenderhatch-relay/src/exchange/request_log.rs
+++ b/crates/lavenderhatch-relay/src/exchange/request_log.rs
@@ -8,9 +8,8 @@
 use lavenderhatch_decide::relay::Attempts;
 use tracing::info;
 
-use super::attempt::{AttemptResult, Failure};
+use super::attempt::{AttemptResult, Failure, RequestResult};
 use super::call::Call;
-use super::router::RequestResult;
 use crate::blackboard::{Blackboard, Endpoint};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::metrics::Metrics;
--- a/crates/lavenderhatch-relay/src/exchange/router.rs
+++ b/crates/lavenderhatch-relay/src/exchange/router.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Uri};
+use hyper::{HeaderMap, Uri};
 use lavenderhatch_core::routing::HostRoute;
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::relay::{
@@ -18,10 +17,13 @@
 use tokio::time::timeout;
 use tracing::debug;
 
-use super::attempt::{AttemptResult, Failure, attempt_end, found_no_free_slot, may_have_run};
-use super::call::Call;
+use super::attempt::{
+    AttemptResult, Failure, RequestResult, attempt_end, found_no_free_slot, may_have_run,
+};
+use super::call::{Call, CallerRequest};
 use super::hop_headers::remove_hop_headers;
 use super::local_backend::LocalBackend;
+use super::outstanding_request::OutstandingRequest;
 use super::peer_client::PeerClient;
 use super::request_class;
 use super::request_log::RequestLog;
@@ -47,22 +49,6 @@
 /// Bytes of the heads of a request and its answer between two daemons, as they are counted for the
 /// cost of crossing zones.
 const HEAD_BYTES: usize = 900;
-/// Retry delay that callers are advised of when no backend server of a service accepts requests.
-const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// A request that the caller port has read.
-#[derive(Debug)]
-pub(crate) struct CallerRequest {
-    pub(crate) method: Method,
-    pub(crate) target: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) arrived: Timestamp,
-}
-
-/// The final result of a caller's request.
-pub(crate) type RequestResult = AttemptResult;
-
 /// Progress of a request over its attempts.
 #[derive(Debug, Default)]
 struct Progress {
@@ -131,7 +117,7 @@
         let running = self.run_attempts(&route, &mut call, &mut progress);
         let result = match timeout(limit, running).await {
             Ok(result) => result,
-            Err(_) => Err(timed_out(progress.attempts)),
+            Err(_) => Err(Failure::timed_out(progress.attempts)),
         };
         let last_endpoint = progress.last_endpoint.as_deref();
         let now = self.clock.now();
@@ -260,7 +246,7 @@
             let Some(endpoint) = chosen else {
                 return possibly_ran
                     .or(last_result)
-                    .unwrap_or_else(|| Err(no_backend(call)));
+                    .unwrap_or_else(|| Err(Failure::no_backend(&call.service)));
             };
             attempts.placed += 1;
             *last_endpoint = Some(Arc::clone(&endpoint));
@@ -403,62 +389,7 @@
     }
 }
 
-/// Counts a request as outstanding at its endpoint until dropped.
-struct OutstandingRequest<'a> {
-    endpoint: &'a Endpoint,
-    clock: MonotonicClock,
-    since: Timestamp,
-    /// Whether the attempt has ended. If it is cancelled first, the time so far is recorded as its
-    /// delay, because the attempt would have taken at least that long.
-    is_finished: bool,
-}
-
-impl<'a> OutstandingRequest<'a> {
-    fn begin(endpoint: &'a Endpoint, clock: MonotonicClock) -> Self {
-        endpoint.stats.begin_request();
-        Self {
-            endpoint,
-            clock,
-            since: clock.now(),
-            is_finished: false,
-        }
-    }
-
-    fn elapsed(&self) -> Duration {
-        self.clock.now().since(self.since)
-    }
-}
-
-impl Drop for OutstandingRequest<'_> {
-    fn drop(&mut self) {
-        self.endpoint.stats.end_request();
-        if !self.is_finished {
-            let now = self.clock.now();
-            self.endpoint.stats.record_delay(self.elapsed(), now);
-        }
-    }
-}
-
 fn host_of(headers: &HeaderMap) -> &str {
     let host = headers.get(HOST);
     host.and_then(|host| host.to_str().ok()).unwrap_or("")
 }
-
-fn no_backend(call: &Call) -> Failure {
-    Failure {
-        retry_after: NO_BACKEND_RETRY_AFTER,
-        ..Failure::before_arrival(
-            ErrorKind::NoBackend,
-            format!("no backend server of {} takes requests", call.service),
-        )
-    }
-}
-
-/// Returns the failure of a request whose time has run out.
-fn timed_out(attempts: Attempts) -> Failure {
-    let reason = "the deadline or the route's timeout has passed";
-    match attempts.placed {
-        0 => Failure::before_arrival(ErrorKind::DeadlineUnmeetable, reason),
-        _ => Failure::after_arrival(ErrorKind::DeadlinePassed, reason),
-    }
-}
