--- a/review/src/cases/clock_step.rs
+++ b/review/src/cases/clock_step.rs
@@ -20,7 +20,7 @@
         return Err("the backend's first report has no 200".to_owned());
     }
     sleep_ms(300);
-    let status = client::get(&machine.daemon, "before", "work-20", record);
+    let status = client::get(&machine.daemon, "before", "/lohu930/work-20", record);
     if status != 200 {
         return Err(format!("a request before the departure ends with {status}"));
     }
@@ -31,7 +31,7 @@
         return Err("a report after the restart has no 200".to_owned());
     }
     sleep_ms(700);
-    client::get(&machine.daemon, "between", "work-20", record);
+    client::get(&machine.daemon, "between", "/lohu930/work-20", record);
     if machine.backend.deregister(control) != 200 {
         return Err("the departure is not acknowledged".to_owned());
     }
@@ -39,7 +39,12 @@
     // The last disruption is further back than the stable window of 3 s at the first request.
     sleep_ms(2500);
     for at in 0..6 {
-        client::get(&machine.daemon, &format!("after-{at}"), "work-20", record);
+        client::get(
+            &machine.daemon,
+            &format!("after-{at}"),
+            "/lohu930/work-20",
+            record,
+        );
         sleep_ms(200);
     }
     Ok(!has_late_arrival(&machine.backend, acknowledged, record))
--- a/review/src/cases/departure.rs
+++ b/review/src/cases/departure.rs
@@ -11,7 +11,7 @@
     let record = &setting.record;
     let mut machine = Machine::start(setting)?;
     let control = machine.daemon.listen.control;
-    let status = client::get(&machine.daemon, "before", "work-20", record);
+    let status = client::get(&machine.daemon, "before", "/lohu930/work-20", record);
     if status != 200 {
         return Err(format!("a request before the departure ends with {status}"));
     }
@@ -44,7 +44,12 @@
     // From here, the store and the daemon are without disruption for the stable window of 3 s.
     sleep_ms(2600);
     for at in 0..6 {
-        client::get(&machine.daemon, &format!("after-{at}"), "work-20", record);
+        client::get(
+            &machine.daemon,
+            &format!("after-{at}"),
+            "/lohu930/work-20",
+            record,
+        );
         sleep_ms(200);
     }
     Ok(!has_late_arrival(&machine.backend, acknowledged, record))
--- a/review/src/client.rs
+++ b/review/src/client.rs
@@ -11,13 +11,13 @@
 
 /// Sends a safe request on a connection of its own. Returns the status of the answer, zero if there
 /// is none.
-pub fn get(daemon: &Daemon, id: &str, work: &str, record: &Record) -> u16 {
+pub fn get(daemon: &Daemon, id: &str, path: &str, record: &Record) -> u16 {
     let Ok(mut stream) = TcpStream::connect(daemon.listen.outbound) else {
         return 0;
     };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
     let req = format!(
-        "GET /lohu930/{work} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n"
     );
     record.line(format!("client: request {id} sent"));
     if stream.write_all(req.as_bytes()).is_err() {
--- a/review/src/store.rs
+++ b/review/src/store.rs
@@ -170,21 +170,23 @@
     fn watch(&self, kind: &str, from: i64, wait: Duration) -> Option<(u16, Value)> {
         let end = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
+        if state.is_silent {
+            return None;
+        }
         loop {
-            if state.is_silent {
-                return None;
-            }
             let events = state.history.iter();
             let events = events.filter(|(revision, of, _)| *revision > from && of == kind);
             let events: Vec<Value> = events.map(|(_, _, event)| event.clone()).collect();
             let left = end.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            // A watch that has begun before the silence is answered after it.
+            if !state.is_silent && (!events.is_empty() || left.is_zero()) {
                 let as_of = Value::Int(state.revision);
                 return Some((
                     200,
                     map(vec![("events", Value::List(events)), ("as_of", as_of)]),
                 ));
             }
+            let left = left.max(Duration::from_millis(10));
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
     }
