--- a/crates/lavenderhatch-core/src/routing/host_route_table.rs
+++ b/crates/lavenderhatch-core/src/routing/host_route_table.rs
@@ -15,6 +15,8 @@
     /// Routes by host name in lower case. Invariant: the routes of a host are sorted by descending
     /// prefix length.
     hosts: HashMap<String, Vec<Arc<HostRoute>>>,
+    /// Path of the health check of each service that has one.
+    health_check_paths: HashMap<String, String>,
 }
 
 impl HostRouteTable {
@@ -36,9 +38,26 @@
             version,
             limits,
             hosts,
+            health_check_paths: HashMap::new(),
         }
     }
 
+    /// Sets the paths of health checks, as pairs of a service and a path.
+    pub fn with_health_check_paths(
+        self,
+        paths: impl IntoIterator<Item = (String, String)>,
+    ) -> Self {
+        Self {
+            health_check_paths: paths.into_iter().collect(),
+            ..self
+        }
+    }
+
+    /// Returns the path of the health check of a service.
+    pub fn health_check_path(&self, service: &str) -> Option<&str> {
+        self.health_check_paths.get(service).map(String::as_str)
+    }
+
     /// Finds the route of `host` with the longest prefix of `path`. The host may include a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<HostRoute>> {
         let routes = match self.hosts.get(host) {
