--- a/crates/lavenderhatch-relay/src/exchange/caller_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/caller_port.rs
@@ -19,8 +19,8 @@
 
 use super::attempt::{Failure, RequestResult};
 use super::call::CallerRequest;
-use super::connection::{Disconnected, ServeResult, serve_connection};
-use super::pipeline::Pipeline;
+use super::connection::{Disconnected, ServeResult, serve_connection, wait_for_shutdown};
+use super::pipeline::{Pipeline, PipelinedRequest};
 use super::port::Port;
 use super::router::Router;
 use crate::blackboard::Blackboard;
@@ -60,26 +60,26 @@
     /// Starts a pipelined request if it is idempotent.
     ///
     /// If the connection ends before the answer, the caller sends the request again, so one that
-    /// may run only once must not be started early.
+    /// may run only once must not be started early. While the daemon drains, none is started,
+    /// because the connection ends after the answers to those that were.
     fn start_if_idempotent(self: &Rc<Self>, req: Request<()>, pipeline: &Pipeline) {
         let (parts, ()) = req.into_parts();
-        if !self.router.is_idempotent(&parts.headers, &parts.uri) {
+        let lifecycle = &self.router.blackboard.lifecycle;
+        if lifecycle.is_draining() || !self.router.is_idempotent(&parts.headers, &parts.uri) {
             return;
         }
-        let Some(guard) = self.router.blackboard.lifecycle.track_request() else {
+        let Some(guard) = lifecycle.track_request() else {
             return;
         };
         let (target, headers) = (parts.uri.clone(), parts.headers.clone());
         let port = Rc::clone(self);
         let task = tokio::task::spawn_local(async move {
-            let answer = match port.caller_request(parts, Bytes::new()) {
+            match port.caller_request(parts, Bytes::new()) {
                 Ok(request) => port.router.handle(request).await,
                 Err(failure) => Err(failure),
-            };
-            drop(guard);
-            answer
+            }
         });
-        pipeline.push(target, headers, task);
+        pipeline.push(PipelinedRequest::new(target, headers, task, guard));
     }
 
     async fn answer(
@@ -90,22 +90,22 @@
     ) -> ServeResult {
         if stream.has_ambiguous_length() {
             let failure = bad_request("the length of the request can be read in two ways");
-            return Ok(self.respond(Err(failure)));
+            return Ok(self.respond(Err(failure), pipeline));
+        }
+        if let Some(started) = pipeline.take(req.uri(), req.headers()) {
+            let answer = started.answer().await.ok_or(Disconnected)?;
+            return Ok(self.respond(answer, pipeline));
         }
         let Some(_guard) = self.router.blackboard.lifecycle.track_request() else {
             // Closes the connection without reading the request, so that the caller may safely send
             // it again.
             return Err(Disconnected);
         };
-        if let Some(started) = pipeline.take(req.uri(), req.headers()) {
-            let answer = started.answer().await.ok_or(Disconnected)?;
-            return Ok(self.respond(answer));
-        }
         let answer = match self.read_request(req).await {
             Ok(request) => self.router.handle(request).await,
             Err(failure) => Err(failure),
         };
-        Ok(self.respond(answer))
+        Ok(self.respond(answer, pipeline))
     }
 
     async fn read_request(&self, req: Request<IncomingBody>) -> Result<CallerRequest, Failure> {
@@ -145,7 +145,9 @@
         })
     }
 
-    fn respond(&self, answer: RequestResult) -> Response<Full<Bytes>> {
+    /// Builds the response. While the daemon drains, the connection ends after the last request
+    /// that was started.
+    fn respond(&self, answer: RequestResult, pipeline: &Pipeline) -> Response<Full<Bytes>> {
         let mut res = match answer {
             Ok(answer) => {
                 let mut res = Response::new(Full::new(answer.body));
@@ -155,7 +157,7 @@
             }
             Err(failure) => self.failure_response(&failure),
         };
-        if self.router.blackboard.lifecycle.is_draining() {
+        if self.router.blackboard.lifecycle.is_draining() && pipeline.is_empty() {
             let headers = res.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -210,7 +212,7 @@
             return debug!(error = %err, "caller: cannot configure a connection");
         }
         let stream = ServerStream::new(stream);
-        let closed = self.router.blackboard.lifecycle.watch_ports_closed();
+        let mut closed = self.router.blackboard.lifecycle.watch_ports_closed();
         let pipeline = Rc::new(Pipeline::default());
         let answer = |req| {
             let port = Rc::clone(&self);
@@ -232,7 +234,11 @@
             // Applies to the idle time between requests as well as to the head of a request.
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
-        serve_connection(&builder, stream.clone(), closed, answer).await;
+        let shutdown = async {
+            wait_for_shutdown(&stream, &mut closed).await;
+            pipeline.wait_until_empty().await;
+        };
+        serve_connection(&builder, stream.clone(), shutdown, answer).await;
     }
 }
 
--- a/crates/lavenderhatch-relay/src/exchange/connection.rs
+++ b/crates/lavenderhatch-relay/src/exchange/connection.rs
@@ -26,12 +26,11 @@
 
 /// Serves the requests of a connection one after the other.
 ///
-/// Once the ports are closed, the connection ends after the request in progress, or after one that
-/// is on its way.
+/// Once `shutdown` completes, the connection ends after the request in progress.
 pub(super) async fn serve_connection<F: Future<Output = ServeResult>>(
     builder: &http1::Builder,
     stream: ServerStream,
-    mut closed: watch::Receiver<bool>,
+    shutdown: impl Future<Output = ()>,
     answer: impl Fn(Request<Incoming>) -> F,
 ) {
     let service_stream = stream.clone();
@@ -44,12 +43,11 @@
             res
         }
     });
-    let shutdown_stream = stream.clone();
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let served = tokio::select! {
         served = conn.as_mut() => served,
-        () = wait_for_shutdown(&shutdown_stream, &mut closed) => {
+        () = shutdown => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -60,7 +58,7 @@
 }
 
 /// Waits until the ports are closed and no request is on its way.
-async fn wait_for_shutdown(stream: &ServerStream, closed: &mut watch::Receiver<bool>) {
+pub(super) async fn wait_for_shutdown(stream: &ServerStream, closed: &mut watch::Receiver<bool>) {
     // An error means that the ports are gone, which ends the connection as well.
     let _ = closed.wait_for(|is_closed| *is_closed).await;
     if stream.has_undelivered_request() {
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{AttemptResult, Failure};
 use super::call::Call;
-use super::connection::{Disconnected, ServeResult, serve_connection};
+use super::connection::{Disconnected, ServeResult, serve_connection, wait_for_shutdown};
 use super::hop_headers::remove_hop_headers;
 use super::local_backend::LocalBackend;
 use super::peer_headers::{
@@ -141,7 +141,7 @@
             return debug!(error = %err, "peer: cannot configure a connection");
         }
         let stream = ServerStream::new(stream);
-        let closed = self.backend.blackboard.lifecycle.watch_ports_closed();
+        let mut closed = self.backend.blackboard.lifecycle.watch_ports_closed();
         let answer = |req| {
             let port = Rc::clone(&self);
             let stream = stream.clone();
@@ -156,7 +156,8 @@
         };
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
-        serve_connection(&builder, stream.clone(), closed, answer).await;
+        let shutdown = wait_for_shutdown(&stream, &mut closed);
+        serve_connection(&builder, stream.clone(), shutdown, answer).await;
     }
 }
 
--- a/crates/lavenderhatch-relay/src/exchange/pipeline.rs
+++ b/crates/lavenderhatch-relay/src/exchange/pipeline.rs
@@ -4,6 +4,8 @@
 use std::collections::VecDeque;
 
 use hyper::{HeaderMap, Uri};
+use lavenderhatch_core::drain::InFlightGuard;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::attempt::RequestResult;
@@ -17,9 +19,26 @@
     target: Uri,
     headers: HeaderMap,
     task: JoinHandle<RequestResult>,
+    /// Keeps the process running until the answer is passed on. It may be ready long before the
+    /// answers to the requests ahead.
+    _guard: InFlightGuard,
 }
 
 impl PipelinedRequest {
+    pub(super) fn new(
+        target: Uri,
+        headers: HeaderMap,
+        task: JoinHandle<RequestResult>,
+        guard: InFlightGuard,
+    ) -> Self {
+        Self {
+            target,
+            headers,
+            task,
+            _guard: guard,
+        }
+    }
+
     /// Waits for the answer. `None` if the task has ended without one.
     pub(super) async fn answer(mut self) -> Option<RequestResult> {
         (&mut self.task).await.ok()
@@ -36,6 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Pipeline {
     requests: RefCell<VecDeque<PipelinedRequest>>,
+    /// Wakes the task that waits until no request is left.
+    emptied: Notify,
 }
 
 impl Pipeline {
@@ -44,13 +65,21 @@
         self.requests.borrow().len() < MAX_PIPELINED_REQUESTS
     }
 
-    /// Adds a request whose task has been started.
-    pub(super) fn push(&self, target: Uri, headers: HeaderMap, task: JoinHandle<RequestResult>) {
-        let request = PipelinedRequest {
-            target,
-            headers,
-            task,
-        };
+    /// Whether no request is left. Until then the connection must stay open, because the requests
+    /// may run already and their answers would be lost.
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.borrow().is_empty()
+    }
+
+    /// Waits until no request is left.
+    pub(super) async fn wait_until_empty(&self) {
+        while !self.is_empty() {
+            self.emptied.notified().await;
+        }
+    }
+
+    /// Adds a request that has been started.
+    pub(super) fn push(&self, request: PipelinedRequest) {
         self.requests.borrow_mut().push_back(request);
     }
 
@@ -58,9 +87,13 @@
     pub(super) fn take(&self, target: &Uri, headers: &HeaderMap) -> Option<PipelinedRequest> {
         let mut requests = self.requests.borrow_mut();
         let first = requests.front()?;
-        match first.target == *target && first.headers == *headers {
-            true => requests.pop_front(),
-            false => None,
+        if first.target != *target || first.headers != *headers {
+            return None;
+        }
+        let request = requests.pop_front();
+        if requests.is_empty() {
+            self.emptied.notify_one();
         }
+        request
     }
 }
