review: a backend gets requests after its leaving was acknowledged

A heartbeat of a crashed start that arrives after the next start has registered under the same id makes the daemon take the crashed start for the current one. It then acknowledges the leaving of the live one and goes on sending requests to it for up to six seconds.

--- /dev/null
+++ b/review/src-2/main.rs
@@ -0,0 +1,33 @@
+//! Runs the script cases of the second review: `review-2 CASE RECORD`, with the cause of the fault
+//! left out if `TROUBLE` is 0.
+
+mod backend;
+mod deployment;
+mod http;
+mod late_heartbeats;
+mod machine;
+mod msgpack;
+mod record;
+mod store;
+
+use std::env;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().collect();
+    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let result = match args.get(1).map(String::as_str) {
+        Some("late-heartbeats") => late_heartbeats::run(Path::new(&args[2]), has_trouble),
+        _ => Err(io::Error::other("usage: review-2 CASE RECORD")),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(err) => {
+            eprintln!("the case cannot run: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
