review: slow bodies keep all other clients out

A connection on which one byte arrives each half second never gives way to a new one, so 520 such connections take all places of a daemon while it says that it is ready.

--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -9,6 +9,7 @@
 mod msgpack;
 mod pipelined_heads;
 mod record;
+mod slow_bodies;
 mod store;
 
 use std::env;
@@ -21,6 +22,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let result = match args.get(1).map(String::as_str) {
         Some("late-heartbeats") => late_heartbeats::run(Path::new(&args[2]), has_trouble),
+        Some("slow-bodies") => slow_bodies::run(Path::new(&args[2]), has_trouble),
         Some("pipelined-heads") => pipelined_heads::run(Path::new(&args[2]), has_trouble),
         _ => Err(io::Error::other("usage: review-2 CASE RECORD")),
     };
