review: a heartbeat without its start undoes a leaving

A heartbeat that lacks `born` is read as one of a start at 0 and, with the id of the live backend, takes that backend's place. The leaving of the live one is then acknowledged without effect.

--- a/review/src-2/deployment.rs
+++ b/review/src-2/deployment.rs
@@ -25,7 +25,7 @@
     path: &Path,
     services: &[&str],
     reports: impl Fn(usize) -> bool,
-    check: impl FnOnce(&[Arc<Machine>], &Arc<Record>) -> io::Result<bool>,
+    check: impl FnOnce(&[Arc<Machine>], &Store, &Arc<Record>) -> io::Result<bool>,
 ) -> io::Result<bool> {
     let record = Arc::new(Record::create(path)?);
     let dir = env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -57,7 +57,7 @@
             .try_for_each(|machine| wait_until_ready(machine))
             .and_then(|()| {
                 thread::sleep(SETTLE_TIME);
-                check(&machines, &record)
+                check(&machines, &store, &record)
             });
     }
     machines.iter().for_each(|machine| machine.stop());
--- a/review/src-2/late_heartbeats.rs
+++ b/review/src-2/late_heartbeats.rs
@@ -31,7 +31,7 @@
     // The third backend serves throughout, so that leaving is no loss for clients.
     let services = ["orders"; 3];
     let reports = |at| at >= LATE_HEARTBEATS.len();
-    deployment::run(path, &services, reports, |machines, record| {
+    deployment::run(path, &services, reports, |machines, _, record| {
         check(machines, record, has_trouble)
     })
 }
@@ -115,16 +115,37 @@
     for late in late_heartbeats {
         beat(first_born, *late, "ready");
     }
+    check_leaving(machine, record, born, sequence)
+}
+
+/// Has a backend leave after a further heartbeat. `sequence` is that of its last one. Returns whether
+/// no request reaches it too late.
+pub fn check_leaving(
+    machine: &Machine,
+    record: &Record,
+    born: i64,
+    sequence: i64,
+) -> io::Result<bool> {
+    let backend = &machine.backend;
+    let id = &backend.id;
+    let mut sequence = sequence;
+    let beat = |sequence: i64, state: &str| {
+        let status = machine.heartbeat(born, sequence, state);
+        record.line(&format!(
+            "heartbeat of {id}, born {born}, {sequence}, {state}: answered {status:?}"
+        ));
+        status.unwrap_or(0)
+    };
     thread::sleep(Duration::from_millis(300));
     sequence += 1;
-    beat(born, sequence, "ready");
+    beat(sequence, "ready");
     thread::sleep(Duration::from_millis(500));
 
     backend.leave();
     let end = Instant::now() + ACK_TIMEOUT;
     let acked_at = loop {
         sequence += 1;
-        if beat(born, sequence, "draining") / 100 == 2 {
+        if beat(sequence, "draining") / 100 == 2 {
             break Instant::now();
         }
         if Instant::now() > end {
@@ -139,7 +160,7 @@
     while acked_at.elapsed() < SERVES_ON {
         thread::sleep(BEAT_INTERVAL);
         sequence += 1;
-        beat(born, sequence, "draining");
+        beat(sequence, "draining");
     }
     let late = backend.arrivals_since(acked_at + DRAIN);
     let last = backend
--- a/review/src-2/machine.rs
+++ b/review/src-2/machine.rs
@@ -126,6 +126,13 @@
         self.is_ready.load(SeqCst)
     }
 
+    /// Kills the process, which the platform starts again after [`RESTART_DELAY`].
+    pub fn kill(&self) {
+        if let Some(child) = self.child.lock().unwrap().as_mut() {
+            let _ = child.kill();
+        }
+    }
+
     /// Ends the process for good.
     pub fn stop(&self) {
         self.is_over.store(true, SeqCst);
@@ -197,7 +204,16 @@
 
     /// Sends a heartbeat of the backend. Returns the status of the answer.
     pub fn heartbeat(&self, born: i64, sequence: i64, state: &str) -> io::Result<u16> {
-        let body = encode(&map([
+        let mut heartbeat = self.heartbeat_without_born(sequence, state);
+        if let Value::Map(fields) = &mut heartbeat {
+            fields.insert("born".to_owned(), born.into());
+        }
+        self.send_heartbeat(&heartbeat)
+    }
+
+    /// Returns a heartbeat of the backend that lacks `born`.
+    pub fn heartbeat_without_born(&self, sequence: i64, state: &str) -> Value {
+        map([
             ("service", self.service.as_str().into()),
             ("address", self.backend.addr.to_string().as_str().into()),
             ("zone", "midlands-a".into()),
@@ -206,11 +222,24 @@
             ("state", state.into()),
             ("cold_remaining", "0ms".into()),
             ("sequence", sequence.into()),
-            ("born", born.into()),
-        ]));
+        ])
+    }
+
+    pub fn send_heartbeat(&self, heartbeat: &Value) -> io::Result<u16> {
         let id = &self.backend.id;
         let first = format!("POST /v1/rpc?call=instances.heartbeat&of={id} HTTP/1.1");
         let headers = "Host: control\r\nContent-Type: application/msgpack\r\n";
+        let body = encode(heartbeat);
+        let answer = http::call(self.addr(self.ports.control), &first, headers, &body)?;
+        Ok(answer.status())
+    }
+
+    /// Tells the daemon that the backend leaves for good. Returns the status of the answer.
+    pub fn deregister(&self, born: i64) -> io::Result<u16> {
+        let body = encode(&map([("born", born.into())]));
+        let id = &self.backend.id;
+        let first = format!("POST /v1/rpc?call=instances.deregister&of={id} HTTP/1.1");
+        let headers = "Host: control\r\nContent-Type: application/msgpack\r\n";
         let answer = http::call(self.addr(self.ports.control), &first, headers, &body)?;
         Ok(answer.status())
     }
--- a/review/src-2/pipelined_heads.rs
+++ b/review/src-2/pipelined_heads.rs
@@ -37,7 +37,7 @@
         path,
         &services,
         |_| true,
-        |machines, record| check(machines, record, has_trouble),
+        |machines, _, record| check(machines, record, has_trouble),
     )
 }
 
--- a/review/src-2/store.rs
+++ b/review/src-2/store.rs
@@ -15,6 +15,8 @@
     revision: i64,
     objects: BTreeMap<(String, String), Value>,
     history: Vec<(i64, String, Value)>,
+    /// Whether all calls get status 503, which means that nothing was done.
+    is_down: bool,
 }
 
 #[derive(Clone)]
@@ -48,6 +50,12 @@
         put(&mut state, &self.shared.1, kind, name, spec)
     }
 
+    /// Refuses all calls from now on, or answers them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.0.lock().unwrap().is_down = is_down;
+        self.shared.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
@@ -72,6 +80,9 @@
         let body = decode(&req.body).unwrap_or(Value::Nil);
         let metadata = body.get("metadata");
         let name = parts.next().or(metadata.get("name").text()).unwrap_or("");
+        if self.shared.0.lock().unwrap().is_down {
+            return (503, Value::Nil);
+        }
         match (req.method(), number("watch")) {
             ("GET", Some(since)) => {
                 let wait = number("wait_ms").unwrap_or(0) as u64;
