review: a false health check undoes a leaving that no record has

A daemon distrusts health checks only if the store is still down when it starts. An outage that ended before leaves an acknowledged leaving without a record, and a false 200 then makes the backend ready again.

--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod deployment;
+mod false_health;
 mod foreign_heartbeat;
 mod http;
 mod late_heartbeats;
@@ -22,6 +23,7 @@
     let args: Vec<String> = env::args().collect();
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let result = match args.get(1).map(String::as_str) {
+        Some("false-health") => false_health::run(Path::new(&args[2]), has_trouble),
         Some("foreign-heartbeat") => foreign_heartbeat::run(Path::new(&args[2]), has_trouble),
         Some("late-heartbeats") => late_heartbeats::run(Path::new(&args[2]), has_trouble),
         Some("slow-bodies") => slow_bodies::run(Path::new(&args[2]), has_trouble),
