--- a/crates/lavenderhatch-relay/src/metrics.rs
+++ b/crates/lavenderhatch-relay/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) retries: IntCounter,
     peer_bytes: IntCounterVec,
     config_age: Gauge,
+    store_era: IntGauge,
     held_bytes: IntGauge,
     held_bytes_limit: IntGauge,
     held_bytes_waiting: IntGauge,
@@ -100,6 +101,10 @@
                 "lavenderhatch_config_age_seconds",
                 "Time for which the configuration in force has not been confirmed as current; -1 if unknown",
             )?,
+            store_era: gauge(
+                "lavenderhatch_store_era",
+                "Era that the store has last told, which rises when it is restored from an earlier copy",
+            )?,
             held_bytes: gauge(
                 "lavenderhatch_held_bytes",
                 "Bytes reserved for requests and answers, connections included",
@@ -193,6 +198,11 @@
             .set(age.map_or(-1.0, |age| age.as_secs_f64()));
     }
 
+    /// Sets the era of the store, which is read when the metrics are rendered.
+    pub fn set_store_era(&self, era: u64) {
+        self.store_era.set(era as i64);
+    }
+
     pub(crate) fn set_byte_limit(&self, bytes: usize) {
         self.held_bytes_limit.set(bytes as i64);
     }
