Order changes of the store by its era, not by the revision alone

Callers saw an old version, and backend servers that had left, after the store had come back from an earlier copy; two to five times as many calls went to the store.

Cause: a restored store goes back to an earlier revision and gives the following ones out again. Daemons compared revisions of the old history with those of the new one. A watch went on from an old revision and missed what was written below it. A record with a lower revision than the lost one was taken for out of date, so a lost record was never written again, the departure of another backend server was ignored, and a write conflicted again and again without a pause.

Change: HistoryPosition orders changes by the era that the store tells in each answer, then by revision. Listings, watches, objects and preconditions carry it. A watch of an earlier era ends, also when the answer to another call tells of the new one, and the objects are listed anew. A position of an earlier era is no precondition. A conflict that brings nothing new is followed by the usual wait. An earlier rule of a rollout does not replace the base version in force.

Without a restoration, a call has one header to read more.

--- a/crates/lavenderhatch-decide/src/distribution.rs
+++ b/crates/lavenderhatch-decide/src/distribution.rs
@@ -7,6 +7,7 @@
 mod coalescing_delay;
 mod delta_log;
 mod evaluate;
+mod history_position;
 mod puller;
 mod readers;
 mod transfer_limiter;
@@ -15,6 +16,7 @@
 pub use coalescing_delay::coalescing_delay;
 pub use delta_log::{DELTA_LOG_CAPACITY, DeltaLog};
 pub use evaluate::{UpdateAction, UpdateRefusal, evaluate_update};
+pub use history_position::HistoryPosition;
 pub use puller::{Pull, PullResult, Puller};
 pub use readers::{READERS_PER_ZONE, ReaderRole, reader_backoff, reader_role, zone_readers};
 pub use transfer_limiter::{MAX_TRANSFERS, TransferLimiter};
--- a/crates/lavenderhatch-decide/tests/testsuite/rollout/parts.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/rollout/parts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
+use lavenderhatch_decide::distribution::HistoryPosition;
 use lavenderhatch_decide::rollout::{
     AdmissionRule, BaseVersions, ExposureBounds, ExposureLedger, LeaseObserver, RecordedVersion,
     Stage, VersionReport, candidates,
@@ -60,10 +61,11 @@
     let length = Duration::from_secs(3);
     let mut observer = LeaseObserver::default();
     assert!(!observer.has_ended(length, NOW));
-    observer.observe(1, NOW);
-    observer.observe(2, NOW + Duration::from_secs(2));
+    let position = |revision| HistoryPosition { era: 1, revision };
+    observer.observe(position(1), NOW);
+    observer.observe(position(2), NOW + Duration::from_secs(2));
     assert!(!observer.has_ended(length, NOW + Duration::from_secs(4)));
-    observer.observe(2, NOW + Duration::from_secs(4));
+    observer.observe(position(2), NOW + Duration::from_secs(4));
     assert!(observer.has_ended(length, NOW + Duration::from_secs(5)));
 }
 
