Admit no more bodies than the link of a machine carries

Cause: a daemon is asked before a large body is sent to it, and it looked at free slots only. The question reserves nothing, so far more bodies were on their way than the 10 Mbit/s link of a machine beside the upload service carries. They queued in it for seconds, and the listing of the configuration behind them: one took 5.66 s, of which the successful call took 0.65 s, and connections to other daemons timed out after 250 ms.

Ruled out: a revision of the old history (the listings named the new era and no watch was open); the processor (the machines log as much as others).

A body that is admitted costs nothing more.

--- a/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
+++ b/crates/lavenderhatch-bench/src/bin/overhead/relay_node.rs
@@ -165,6 +165,7 @@
         key_withdrawal: None,
         byte_limits: None,
         connection_limits: None,
+        link_bytes_per_second: None,
         max_header_lines: 1024,
         enforces_account_limits: false,
     }
--- a/crates/lavenderhatch-core/src/error_kind.rs
+++ b/crates/lavenderhatch-core/src/error_kind.rs
@@ -142,6 +142,8 @@
     StaleConfiguration "stale-configuration" => 503, NotRun, After;
     /// The memory of the daemon has no room for the body of the request.
     OutOfMemory "out-of-memory" => 503, NotRun, After;
+    /// The link of the backend server's machine is full of bodies that are on their way.
+    LinkFull "link-full" => 503, NotRun, After;
 }
 
 impl ErrorKind {
--- a/crates/lavenderhatch-decide/src/relay.rs
+++ b/crates/lavenderhatch-decide/src/relay.rs
@@ -7,6 +7,7 @@
 //! - [`FirstAttemptEstimator`]: how long ago a caller first sent a request.
 //! - [`KeyWithdrawal`]: which requests with an API key run while the configuration may be out of
 //!   date.
+//! - [`LinkBacklog`]: how many bodies may be on their way to a daemon over the link of its machine.
 //! - [`SlotQueue`]: which request gets the next free slot of a backend server, and which is
 //!   refused.
 //! - [`choose_backend()`]: which backend server a request is sent to.
@@ -30,6 +31,7 @@
 mod exchange_sizes;
 mod first_attempt_estimator;
 mod key_withdrawal;
+mod link_backlog;
 mod next_step;
 mod past_incarnations;
 mod rank_loads;
@@ -55,6 +57,7 @@
 pub use exchange_sizes::ExchangeSizes;
 pub use first_attempt_estimator::FirstAttemptEstimator;
 pub use key_withdrawal::{KeyWithdrawal, current_until_by_answer, current_until_by_watch};
+pub use link_backlog::LinkBacklog;
 pub use next_step::{AttemptEnd, Attempts, NextStep, may_wait, next_step};
 pub use rate_limiter::RateLimiter;
 pub use report_effect::ReportEffect;
--- a/crates/lavenderhatch-decide/tests/testsuite/relay.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay.rs
@@ -8,6 +8,7 @@
 mod crossing;
 mod first_attempt_estimator;
 mod key_withdrawal;
+mod link_backlog;
 mod long_requests;
 mod next_step;
 mod overload;
--- a/crates/lavenderhatch-relay/src/config.rs
+++ b/crates/lavenderhatch-relay/src/config.rs
@@ -67,6 +67,8 @@
     pub byte_limits: Option<ByteBudgetLimits>,
     /// Limits on the connections of the two ports; `None` if there are none.
     pub connection_limits: Option<ConnectionLimits>,
+    /// Bytes that the link of the machine carries in a second; `None` if that is not known.
+    pub link_bytes_per_second: Option<f64>,
     /// Largest number of header lines of a request.
     pub max_header_lines: usize,
     /// Whether the limits of client accounts apply.
--- a/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_headers.rs
@@ -103,9 +103,11 @@
     insert(headers, ANNOUNCED_BODY, &bytes.to_string());
 }
 
-/// Whether a request only asks whether it would be taken.
-pub(super) fn is_inquiry(headers: &HeaderMap) -> bool {
-    headers.contains_key(ANNOUNCED_BODY)
+/// Returns the size of the body in bytes if a request only asks whether it would be taken. A size
+/// that cannot be read counts as none.
+pub(super) fn read_announced_body(headers: &HeaderMap) -> Option<u64> {
+    let is_inquiry = headers.contains_key(ANNOUNCED_BODY);
+    is_inquiry.then(|| read(headers, ANNOUNCED_BODY).unwrap_or(0))
 }
 
 /// Whether a request is one of a caller that another daemon forwards.
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -1,5 +1,6 @@
 //! The port to which other daemons forward requests.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use hyper_util::rt::TokioTimer;
 use lavenderhatch_core::routing::CallerLimits;
 use lavenderhatch_core::{ErrorKind, Timestamp};
-use lavenderhatch_decide::relay::ByteUse;
+use lavenderhatch_decide::relay::{ByteUse, LinkBacklog};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tracing::debug;
@@ -24,7 +25,7 @@
 use super::local_backend::LocalBackend;
 use super::packed_headers::{pack, unpack};
 use super::peer_headers::{
-    AnswerTimes, ForwardedCall, is_forwarded_call, is_inquiry, read_call, read_version,
+    AnswerTimes, ForwardedCall, is_forwarded_call, read_announced_body, read_call, read_version,
     write_failure, write_load, write_times, write_version, write_version_age,
 };
 use super::port::Port;
@@ -32,6 +33,7 @@
 use super::request_log::RequestLog;
 use super::versions::{answer_question, is_question, write_rule};
 use crate::blackboard::Blackboard;
+use crate::config::RelayConfig;
 use crate::connections::ConnectionSlot;
 use crate::io::{
     BodyError, BodyLimits, HeadLimits, ReadAhead, ServerStream, configure_stream, read_body,
@@ -52,16 +54,23 @@
     backend: LocalBackend,
     log: RequestLog,
     quota: QuotaServer,
+    metrics: Metrics,
+    /// Bodies on their way here; `None` if the rate of the link is not known.
+    link_backlog: RefCell<Option<LinkBacklog>>,
 }
 
 impl PeerPort {
-    pub(crate) fn new(backend: LocalBackend, metrics: Metrics) -> Rc<Self> {
+    pub(crate) fn new(backend: LocalBackend, cfg: &RelayConfig, metrics: Metrics) -> Rc<Self> {
+        let now = backend.clock.now();
+        let link = cfg.link_bytes_per_second;
         let quota = QuotaServer::new(backend.blackboard.clone(), metrics.quota.clone());
-        let log = RequestLog::new(backend.blackboard.clone(), metrics);
+        let log = RequestLog::new(backend.blackboard.clone(), metrics.clone());
         Rc::new(Self {
             backend,
             log,
             quota,
+            metrics,
+            link_backlog: RefCell::new(link.map(|link| LinkBacklog::new(link, now))),
         })
     }
 
@@ -103,8 +112,8 @@
             let failure = Failure::before_arrival(ErrorKind::BadRequest, reason);
             return Ok(self.respond(Err(failure)));
         };
-        if is_inquiry(req.headers()) {
-            return Ok(self.answer_inquiry(&forwarded));
+        if let Some(bytes) = read_announced_body(req.headers()) {
+            return Ok(self.answer_inquiry(&forwarded, bytes));
         }
         let limit = forwarded.demand.deadline.since(now);
         let call = match self.receive_call(req, forwarded).await {
@@ -124,8 +133,8 @@
         Ok(self.respond_since(call.demand.arrived, attempt))
     }
 
-    /// Answers the question whether a request would be taken.
-    fn answer_inquiry(&self, forwarded: &ForwardedCall) -> Response<Full<Bytes>> {
+    /// Answers the question whether a request with a body of `bytes` would be taken.
+    fn answer_inquiry(&self, forwarded: &ForwardedCall, bytes: u64) -> Response<Full<Bytes>> {
         let ForwardedCall {
             service,
             demand,
@@ -133,7 +142,8 @@
             ..
         } = forwarded;
         let checked = self.backend.check_admission(service, demand, *may_wait);
-        let attempt = checked.map(|()| BackendAnswer {
+        let admitted = checked.and_then(|()| self.admit_body(bytes, demand.arrived));
+        let attempt = admitted.map(|()| BackendAnswer {
             status: StatusCode::NO_CONTENT,
             headers: HeaderMap::new(),
             body: Bytes::new(),
@@ -144,6 +154,21 @@
         self.respond_since(demand.arrived, attempt)
     }
 
+    /// Admits a body that another daemon is going to send.
+    fn admit_body(&self, bytes: u64, now: Timestamp) -> Result<(), Failure> {
+        let mut backlog = self.link_backlog.borrow_mut();
+        let admitted = backlog
+            .as_mut()
+            .map_or(Ok(()), |link| link.admit(bytes, now));
+        admitted.map_err(|retry_after| {
+            self.metrics.link_refusals.inc();
+            Failure {
+                retry_after,
+                ..Failure::before_arrival(ErrorKind::LinkFull, "the link is full of bodies")
+            }
+        })
+    }
+
     /// Returns the maximum size of a body. The other daemon may have a version in force that allows
     /// more than the one here.
     fn max_body_bytes(&self) -> usize {
--- a/crates/lavenderhatch-relay/src/exchange/placement.rs
+++ b/crates/lavenderhatch-relay/src/exchange/placement.rs
@@ -94,6 +94,8 @@
                 let priority = call.demand.priority;
                 endpoint.stats.suspend_for_rank(priority, now + backoff);
             }
+            // Requests without a large body are taken.
+            Err(failure) if failure.kind == ErrorKind::LinkFull => {}
             Err(_) => endpoint.stats.suspend(now + UNAVAILABLE_BACKOFF),
         }
     }
--- a/crates/lavenderhatch-relay/src/metrics.rs
+++ b/crates/lavenderhatch-relay/src/metrics.rs
@@ -29,6 +29,8 @@
     /// Retries of requests, each on another backend server.
     pub(crate) retries: IntCounter,
     peer_bytes: IntCounterVec,
+    /// Bodies of other daemons that were refused because the link was full of others.
+    pub(crate) link_refusals: IntCounter,
     config_age: Gauge,
     store_era: IntGauge,
     held_bytes: IntGauge,
@@ -82,6 +84,10 @@
             "lavenderhatch_retries_total",
             "Requests that were sent once more to another backend server",
         )?;
+        let link_refusals = IntCounter::new(
+            "lavenderhatch_link_refusals_total",
+            "Bodies of other daemons that were refused because the link was full of others",
+        )?;
         Ok(Self {
             latency: register(&registry, HistogramVec::new(latency, &["priority"])?)?,
             failures: register_counters(
@@ -91,6 +97,7 @@
                 &["error"],
             )?,
             retries: register(&registry, retries)?,
+            link_refusals: register(&registry, link_refusals)?,
             peer_bytes: register_counters(
                 &registry,
                 "lavenderhatch_peer_bytes_total",
--- a/crates/lavenderhatch-relay/src/relay.rs
+++ b/crates/lavenderhatch-relay/src/relay.rs
@@ -57,6 +57,7 @@
             }
         };
         let caller_backend = new_backend.clone();
+        let peer_cfg = cfg.clone();
         let peer_metrics = metrics.clone();
         let limits = cfg.connection_limits;
         spawn_port_thread("callers", move || {
@@ -68,7 +69,7 @@
         spawn_port_thread("peers", move || {
             let max = limits.map(|limits| limits.peers);
             let connections = Connections::new("peers", max, clock, peer_metrics.clone());
-            let port = PeerPort::new(new_backend(), peer_metrics);
+            let port = PeerPort::new(new_backend(), &peer_cfg, peer_metrics);
             serve_port(port, peer_listener, connections)
         })?;
         Ok(relay)
--- a/crates/lavenderhatch-relay/tests/testsuite/large_bodies.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/large_bodies.rs
@@ -42,6 +42,29 @@
     assert!(in_vain < 10_000, "{in_vain} bytes were sent");
 }
 
+/// Load: uploads whose backend server has free slots, over a link that is slower than the uploads.
+/// Guards against bodies that fill the link, in which the configuration waits behind them.
+#[test]
+fn a_body_is_not_sent_while_others_fill_the_link() {
+    let backends = [Backend::hello(), Backend::hello()];
+    let mesh = Mesh::spawn_with(&[&backends[0], &backends[1]], &[UPLOADS], |cfg| {
+        // The first body needs the link for more than ten seconds.
+        cfg.link_bytes_per_second = Some(BODY_BYTES as f64 / 10.0);
+    });
+    mesh.drain_first_backend();
+    let mut caller = mesh.daemons[0].caller();
+    let body = "b".repeat(BODY_BYTES);
+    caller.post("/once/1", &body);
+    assert_eq!(caller.read().unwrap().status, 200);
+    let before = bytes_sent(&mesh);
+    caller.post("/once/2", &body);
+    assert_eq!(caller.read().unwrap().status, 503);
+    let in_vain = bytes_sent(&mesh) - before;
+    assert!(in_vain < 10_000, "{in_vain} bytes were sent");
+    caller.post("/once/3", "a small body is not asked about");
+    assert_eq!(caller.read().unwrap().status, 200);
+}
+
 /// Guards against a caller that sets the properties of its request for the daemon that runs it.
 #[test]
 fn packed_headers_of_a_caller_are_ignored() {
--- a/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/support/mesh.rs
@@ -262,6 +262,7 @@
         key_withdrawal: None,
         byte_limits: Some(ByteBudgetLimits::of_memory(160).unwrap()),
         connection_limits: Some(ConnectionLimits::of_descriptors(4100).unwrap()),
+        link_bytes_per_second: None,
         max_header_lines: 1024,
         enforces_account_limits: true,
     }
