Log what failed requests have in common

The log could not tell a request that comes again from different ones: each attempt of a caller has an identity of its own.

Change: Fingerprint hashes the method, path, query, calling service and body of a request. A failed request that reached a backend server has it in its log line. It is computed for these requests only.

--- a/crates/lavenderhatch-decide/src/lib.rs
+++ b/crates/lavenderhatch-decide/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`acceptance`]: how a set of files becomes the accepted version.
 //! - [`audit`]: the audit trail of a zone.
+//! - [`crash`]: requests that crash the backend servers that run them.
 //! - [`distribution`]: how an accepted version reaches each daemon.
 //! - [`stops`]: when a backend server leaves for a planned stop or a signal.
 //! - [`endpoints`]: which backend servers may be chosen, and with what weight.
@@ -23,6 +24,7 @@
 
 pub mod acceptance;
 pub mod audit;
+pub mod crash;
 pub mod distribution;
 pub mod endpoints;
 pub mod explain;
--- /dev/null
+++ b/crates/lavenderhatch-decide/tests/testsuite/crash.rs
@@ -0,0 +1,3 @@
+//! Requests that crash the backend servers that run them.
+
+mod fingerprint;
--- a/crates/lavenderhatch-decide/tests/testsuite/main.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod choose;
 mod coalescing_delay;
+mod crash;
 mod distribution;
 mod endpoints;
 mod explain;
--- a/crates/lavenderhatch-relay/src/exchange/call.rs
+++ b/crates/lavenderhatch-relay/src/exchange/call.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use lavenderhatch_core::Timestamp;
 use lavenderhatch_core::routing::ClientAccount;
+use lavenderhatch_decide::crash::Fingerprint;
 use lavenderhatch_decide::relay::Demand;
 
 /// A request that the caller port has read.
@@ -61,6 +62,18 @@
         self.account.as_ref().map(|account| account.name.as_str())
     }
 
+    /// Returns what the request has in common with its repetitions.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(
+            self.method.as_str(),
+            self.target
+                .path_and_query()
+                .map_or("", |target| target.as_str()),
+            self.caller_service.as_bytes(),
+            &self.body,
+        )
+    }
+
     /// Returns the identity of the request, for the log.
     pub(crate) fn id(&self) -> &str {
         self.request_id.to_str().unwrap_or("?")
--- a/crates/lavenderhatch-relay/src/exchange/request_log.rs
+++ b/crates/lavenderhatch-relay/src/exchange/request_log.rs
@@ -89,6 +89,9 @@
                 known_load,
                 error = failure.kind.as_str(),
                 reason = failure.reason,
+                fingerprint = failure
+                    .has_arrived
+                    .then(|| tracing::field::display(call.fingerprint())),
                 arrived = attempts.arrived,
                 placed = attempts.placed,
                 took_ms = millis(took),
