--- a/crates/lavenderhatch-decide/src/crash.rs
+++ b/crates/lavenderhatch-decide/src/crash.rs
@@ -18,5 +18,5 @@
 
 pub use crash_id::CrashId;
 pub use crash_ledger::CrashLedger;
-pub use crash_record::{CRASHES_UNTIL_QUARANTINE, CrashRecord};
+pub use crash_record::{CRASH_RETENTION, CRASHES_UNTIL_QUARANTINE, CrashRecord};
 pub use fingerprint::Fingerprint;
--- a/crates/lavenderhatch-decide/src/crash/crash_ledger.rs
+++ b/crates/lavenderhatch-decide/src/crash/crash_ledger.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
 
@@ -10,9 +9,6 @@
 use super::crash_record::CrashRecord;
 use super::fingerprint::Fingerprint;
 
-/// Time after its last crash for which a request is remembered. A cause that is fixed or a wrong
-/// suspicion ends with it.
-const RETENTION: Duration = Duration::from_secs(600);
 /// Largest number of records. Those with the fewest crashes are forgotten first, the oldest of them
 /// before the others.
 const MAX_RECORDS: usize = 512;
@@ -45,7 +41,7 @@
 
     /// Takes over a record of another daemon. Returns whether anything has changed.
     pub fn merge(&mut self, record: &CrashRecord, now: Timestamp) -> bool {
-        if is_expired(record, now) {
+        if record.is_expired(now) {
             return false;
         }
         let Some(known) = self.records.get_mut(&record.fingerprint) else {
@@ -61,7 +57,7 @@
     /// Forgets records whose time is over. Returns whether there were any.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let before = self.records.len();
-        self.records.retain(|_, record| !is_expired(record, now));
+        self.records.retain(|_, record| !record.is_expired(now));
         self.records.len() != before
     }
 
@@ -86,7 +82,7 @@
             let records = self.records.values();
             let least = records.min_by_key(|record| {
                 let crashes = record.crashes.len();
-                (!record.is_cleared, crashes, record.last_crash_at)
+                (!record.is_cleared, crashes, record.expires_at)
             });
             let Some(least) = least.map(|record| record.fingerprint) else {
                 return;
@@ -95,7 +91,3 @@
         }
     }
 }
-
-fn is_expired(record: &CrashRecord, now: Timestamp) -> bool {
-    now.since(record.last_crash_at) > RETENTION
-}
--- a/crates/lavenderhatch-decide/src/crash/crash_record.rs
+++ b/crates/lavenderhatch-decide/src/crash/crash_record.rs
@@ -1,6 +1,7 @@
 //! What is known of a request that ran while backend servers crashed.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use lavenderhatch_core::Timestamp;
 
@@ -11,6 +12,9 @@
 /// Crashes of different incarnations after which a request is quarantined. Many requests run while
 /// a backend server crashes, and hardly any but the cause runs in three crashes without an answer.
 pub const CRASHES_UNTIL_QUARANTINE: usize = 3;
+/// Time after its last crash for which a request is remembered. A cause that is fixed or a wrong
+/// suspicion ends with it.
+pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
 
 /// What is known of a request that ran while backend servers crashed.
 ///
@@ -23,8 +27,8 @@
     pub crashes: BTreeSet<CrashId>,
     /// Whether a backend server has answered it since its first crash, so that others caused them.
     pub is_cleared: bool,
-    /// When the last crash was recorded, on the clock of the daemon that holds the record.
-    pub last_crash_at: Timestamp,
+    /// When it is forgotten, on the clock of the daemon that holds the record.
+    pub expires_at: Timestamp,
 }
 
 impl CrashRecord {
@@ -34,7 +38,7 @@
             fingerprint,
             crashes: BTreeSet::from([crash]),
             is_cleared: false,
-            last_crash_at: now,
+            expires_at: now + CRASH_RETENTION,
         }
     }
 
@@ -43,6 +47,11 @@
         !self.is_cleared && self.crashes.len() >= CRASHES_UNTIL_QUARANTINE
     }
 
+    /// Whether the time of the record is over.
+    pub(super) fn is_expired(&self, now: Timestamp) -> bool {
+        now >= self.expires_at
+    }
+
     /// Adds what another record of the same request holds.
     pub(super) fn merge(&mut self, other: &CrashRecord) {
         self.crashes.extend(&other.crashes);
@@ -50,7 +59,7 @@
             self.crashes.pop_last();
         }
         self.is_cleared |= other.is_cleared;
-        self.last_crash_at = self.last_crash_at.max(other.last_crash_at);
+        self.expires_at = self.expires_at.max(other.expires_at);
     }
 
     /// Returns a hash of the content that daemons agree on.
--- a/crates/lavenderhatch-relay/src/exchange/crash_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/crash_headers.rs
@@ -9,7 +9,7 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 use lavenderhatch_core::Timestamp;
-use lavenderhatch_decide::crash::{CrashId, CrashRecord, Fingerprint};
+use lavenderhatch_decide::crash::{CRASH_RETENTION, CrashId, CrashRecord, Fingerprint};
 
 use crate::blackboard::Quarantine;
 
@@ -82,15 +82,15 @@
     }
 }
 
-/// Encodes the fingerprint, the age of the last crash in seconds, the standing, and the crashes.
+/// Encodes the fingerprint, the seconds until the record expires, the standing, and the crashes.
 fn encode(record: &CrashRecord, now: Timestamp) -> String {
-    // Rounded up: a record that became younger with each exchange would never expire.
-    let age = now.since(record.last_crash_at).as_secs() + 1;
+    // Rounded down: a record that gained time with each exchange would never expire.
+    let left = record.expires_at.since(now).as_secs();
     let standing = match record.is_cleared {
         true => CLEARED,
         false => SUSPECTED,
     };
-    let mut text = format!("{}.{age}.{standing}", record.fingerprint);
+    let mut text = format!("{}.{left}.{standing}", record.fingerprint);
     for CrashId(crash) in &record.crashes {
         text.push_str(&format!("{FIELD_SEPARATOR}{crash:x}"));
     }
@@ -101,7 +101,7 @@
 fn decode(text: &str, now: Timestamp) -> Option<CrashRecord> {
     let mut fields = text.split(FIELD_SEPARATOR);
     let fingerprint: Fingerprint = fields.next()?.parse().ok()?;
-    let age = Duration::from_secs(fields.next()?.parse().ok()?);
+    let left = Duration::from_secs(fields.next()?.parse().ok()?);
     let standing = fields.next()?;
     let crashes = fields.map(|field| u64::from_str_radix(field, 16).map(CrashId));
     let crashes: BTreeSet<CrashId> = crashes.collect::<Result<_, _>>().ok()?;
@@ -110,6 +110,6 @@
         fingerprint,
         crashes,
         is_cleared: standing == CLEARED,
-        last_crash_at: now - age,
+        expires_at: now + left.min(CRASH_RETENTION),
     })
 }
--- a/crates/lavenderhatch-relay/tests/testsuite/crashes.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/crashes.rs
@@ -66,7 +66,7 @@
 #[case::no_crash("1.0.s")]
 #[case::unknown_standing("1.0.x.1.2.3")]
 #[case::too_large("ffffffffffffffffff.0.s.1.2.3")]
-#[case::endless_age("1.99999999999999999999999.s.1")]
+#[case::endless_time("1.99999999999999999999999.s.1")]
 fn malformed_news_of_crashes_is_ignored(#[case] crashes: &str) {
     let backend = Backend::hello();
     let mesh = Mesh::spawn(&[&backend], &[RouteSpec::SAFE]);
