Take no answer without a final status for the answer of a backend server

A backend server in trouble that answered with status 600, 999 or 101 had its answer passed on to the caller, on both paths: the one of lavenderhatch-sidecar and the one of lavenderhatchd.

Cause: the clients take any number from 100 to 999 for a status, and the checks of the answer asked for its identity and signature only.

Change: is_final_status in lavenderhatch-core allows 200 to 599. Any other answer leaves the outcome unknown.

Result: of the cases 000, 099, 101, 600 and 999, the last three failed before in an_answer_is_checked and in an_answer_without_a_final_status_is_no_answer; all pass. 000 and 099 passed before as well. An answer is compared with two numbers more.

--- a/crates/lavenderhatch-core/src/call.rs
+++ b/crates/lavenderhatch-core/src/call.rs
@@ -149,3 +149,9 @@
         }
     }
 }
+
+/// Whether the status of an HTTP answer may end an exchange (RFC 9110, section 15). Interim answers
+/// do not, no request asks for another protocol, and other numbers are none of HTTP.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
--- a/crates/lavenderhatch-daemon/src/request/backend.rs
+++ b/crates/lavenderhatch-daemon/src/request/backend.rs
@@ -5,7 +5,7 @@
 
 use lavenderhatch_core::call::{
     CallResponse, CallView, DEADLINE_HEADER, HOP_COUNT_HEADER, Header, RETRY_EXHAUSTED,
-    RETRY_HEADER,
+    RETRY_HEADER, is_final_status,
 };
 use lavenderhatch_core::error_kind::Outcome;
 use lavenderhatch_core::{Error, ErrorKind};
@@ -127,6 +127,11 @@
     fn run(&self, call: &CallView<'_>, time_left: Duration) -> Result<CallResponse, Error> {
         let exchange_error = |err: ureq::Error| exchange_error(call, &err);
         let mut res = self.send(call, time_left).map_err(exchange_error)?;
+        let status = res.status().as_u16();
+        if !is_final_status(status) {
+            let message = format!("back end: {status} is not the status of an answer");
+            return Err(Error::new(failure_kind(call), message));
+        }
         let headers = forwarded_headers(&res);
         let is_retry_exhausted = is_retry_exhausted(&res);
         let body = res
@@ -135,7 +140,7 @@
             .limit(MAX_ANSWER_BYTES)
             .read_to_vec();
         Ok(CallResponse {
-            status: res.status().as_u16(),
+            status,
             headers,
             body: body.map_err(exchange_error)?,
             outcome: Outcome::Ran,
@@ -174,12 +179,19 @@
     }
     let kind = match err {
         ureq::Error::Timeout(_) => ErrorKind::DeadlinePassed,
-        _ if call.is_idempotent => ErrorKind::BackendFailed,
-        _ => ErrorKind::OutcomeUnknown,
+        _ => failure_kind(call),
     };
     Error::new(kind, message)
 }
 
+/// Returns the kind of the error of a call that may have run.
+fn failure_kind(call: &CallView<'_>) -> ErrorKind {
+    match call.is_idempotent {
+        true => ErrorKind::BackendFailed,
+        false => ErrorKind::OutcomeUnknown,
+    }
+}
+
 /// Returns whether the exchange failed before the first byte was sent.
 fn is_unsent(err: &ureq::Error) -> bool {
     match err {
--- a/crates/lavenderhatch-daemon/tests/testsuite/backend.rs
+++ b/crates/lavenderhatch-daemon/tests/testsuite/backend.rs
@@ -137,3 +137,26 @@
         }
     }
 }
+
+/// Guards against an answer of a back end in trouble that is passed on although its status is none of
+/// the protocol, or that is taken for a request that has not run.
+#[rstest]
+fn an_answer_without_a_final_status_is_no_answer(
+    #[values("000", "099", "101", "600", "999")] status: &'static str,
+) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let thread = thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        read_request(&mut BufReader::new(&stream)).unwrap();
+        write!(
+            &stream,
+            "HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok"
+        )
+        .unwrap();
+    });
+    let res = HttpBackend::open(addr).run(&call("/first", "POST", b"one pallet"), TIME_LEFT);
+    thread.join().unwrap();
+    let err = res.expect_err("passed on");
+    assert_eq!(err.kind(), ErrorKind::OutcomeUnknown, "{err}");
+}
--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
+use lavenderhatch_core::call::is_final_status;
 use lavenderhatch_core::{ErrorKind, Timestamp};
 use lavenderhatch_decide::crash::CrashId;
 use lavenderhatch_decide::relay::{BackendReport, Demand, Refusal};
@@ -356,6 +357,9 @@
         if !self.has_identity_of(call, &parts) && !is_refusal_unread {
             return Err(outcome_unknown("the answer belongs to another request"));
         }
+        if !is_final_status(parts.status.as_u16()) {
+            return Err(outcome_unknown("the answer has no final status"));
+        }
         self.apply_departure(backend, &parts);
         self.apply_rate_limit(&parts);
         if parts.headers.contains_key(&names.not_run) {
--- a/crates/lavenderhatch-relay/tests/testsuite/answers.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/answers.rs
@@ -29,6 +29,26 @@
     502
 )]
 #[case::no_http("garbage\r\n\r\n", 502)]
+#[case::status_000(
+    "HTTP/1.1 000 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nhi",
+    502
+)]
+#[case::status_099(
+    "HTTP/1.1 099 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nhi",
+    502
+)]
+#[case::status_101(
+    "HTTP/1.1 101 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nhi",
+    502
+)]
+#[case::status_600(
+    "HTTP/1.1 600 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nhi",
+    502
+)]
+#[case::status_999(
+    "HTTP/1.1 999 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nhi",
+    502
+)]
 #[case::unclear_refusal(
     "HTTP/1.1 503 X\r\nrequest-id: {id}\r\nsignature: s\r\ncontent-length: 0\r\n\r\n",
     502
