Let ledgers of crashes converge when they are full

After a wave of crashes, each answer between daemons could have carried up to 64 records for ten minutes.

Cause: a ledger kept 512 records and forgot the oldest ones first, by times that differ between daemons, and a message carried 64. Ledgers beyond that size never have the same digest, so their daemons exchange records with each message.

Change: a ledger keeps 128 records, as many as a message carries, and which ones follows from their content alone. Only new crashes are pushed to other daemons, no longer the clearing of a request. A quarantined request is refused before it waits for a slot, and an impossible size of a body or rate of a link cannot end the daemon.

--- a/crates/lavenderhatch-decide/src/crash.rs
+++ b/crates/lavenderhatch-decide/src/crash.rs
@@ -17,6 +17,6 @@
 mod fingerprint;
 
 pub use crash_id::CrashId;
-pub use crash_ledger::CrashLedger;
+pub use crash_ledger::{CrashLedger, MAX_CRASH_RECORDS};
 pub use crash_record::{CRASH_RETENTION, CRASHES_UNTIL_QUARANTINE, CrashRecord};
 pub use fingerprint::Fingerprint;
--- a/crates/lavenderhatch-decide/src/crash/crash_ledger.rs
+++ b/crates/lavenderhatch-decide/src/crash/crash_ledger.rs
@@ -9,9 +9,9 @@
 use super::crash_record::CrashRecord;
 use super::fingerprint::Fingerprint;
 
-/// Largest number of records. Those with the fewest crashes are forgotten first, the oldest of them
-/// before the others.
-const MAX_RECORDS: usize = 512;
+/// Largest number of records, so that one message carries all of them. Daemons that keep different
+/// ones would exchange them again and again, so which are kept follows from their content alone.
+pub const MAX_CRASH_RECORDS: usize = 128;
 
 /// The requests that ran while backend servers crashed.
 ///
@@ -47,7 +47,7 @@
         let Some(known) = self.records.get_mut(&record.fingerprint) else {
             self.records.insert(record.fingerprint, record.clone());
             self.evict();
-            return true;
+            return self.records.contains_key(&record.fingerprint);
         };
         let before = known.digest();
         known.merge(record);
@@ -64,13 +64,16 @@
     /// Returns the records, those with the most crashes first.
     pub fn records(&self) -> Vec<&CrashRecord> {
         let mut records: Vec<&CrashRecord> = self.records.values().collect();
-        records.sort_by_key(|record| {
-            let crashes = Reverse(record.crashes.len());
-            (record.is_cleared, crashes, record.fingerprint)
-        });
+        records.sort_by_key(|record| rank(record));
         records
     }
 
+    /// Returns the number of crashes that the records hold.
+    pub fn crash_count(&self) -> usize {
+        let records = self.records.values();
+        records.map(|record| record.crashes.len()).sum()
+    }
+
     /// Returns a hash by which daemons find out whether their ledgers differ; zero without records.
     pub fn digest(&self) -> u64 {
         let records = self.records.values();
@@ -78,16 +81,19 @@
     }
 
     fn evict(&mut self) {
-        while self.records.len() > MAX_RECORDS {
-            let records = self.records.values();
-            let least = records.min_by_key(|record| {
-                let crashes = record.crashes.len();
-                (!record.is_cleared, crashes, record.expires_at)
-            });
-            let Some(least) = least.map(|record| record.fingerprint) else {
+        while self.records.len() > MAX_CRASH_RECORDS {
+            let last = self.records.values().max_by_key(|record| rank(record));
+            let Some(last) = last.map(|record| record.fingerprint) else {
                 return;
             };
-            self.records.remove(&least);
+            self.records.remove(&last);
         }
     }
 }
+
+/// Orders records: suspected and quarantined requests first, those with the most crashes before the
+/// others.
+fn rank(record: &CrashRecord) -> (bool, Reverse<usize>, Fingerprint) {
+    let crashes = Reverse(record.crashes.len());
+    (record.is_cleared, crashes, record.fingerprint)
+}
--- a/crates/lavenderhatch-decide/src/distribution/history_position.rs
+++ b/crates/lavenderhatch-decide/src/distribution/history_position.rs
@@ -13,8 +13,8 @@
 }
 
 impl HistoryPosition {
-    /// Returns the revision if it says something about the history of `era`: as the start of a watch
-    /// or as the precondition of a write.
+    /// Returns the revision if it says something about the history of `era`, as the precondition of a
+    /// write.
     pub fn revision_in(self, era: u64) -> Option<u64> {
         (self.era == era).then_some(self.revision)
     }
--- a/crates/lavenderhatch-decide/src/relay/link_backlog.rs
+++ b/crates/lavenderhatch-decide/src/relay/link_backlog.rs
@@ -42,8 +42,8 @@
         if backlog > MAX_BACKLOG {
             return Err(backlog - MAX_BACKLOG);
         }
-        let transfer = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
-        self.backlog = backlog + transfer;
+        let transfer = Duration::try_from_secs_f64(bytes as f64 / self.bytes_per_second);
+        self.backlog = backlog.saturating_add(transfer.unwrap_or(Duration::MAX));
         self.updated_at = now;
         Ok(())
     }
--- a/crates/lavenderhatch-decide/tests/testsuite/relay/link_backlog.rs
+++ b/crates/lavenderhatch-decide/tests/testsuite/relay/link_backlog.rs
@@ -39,6 +39,16 @@
     assert!(longest < APPLY_DEADLINE / 2, "{longest:?}");
 }
 
+/// Guards against a size or a rate that ends the daemon.
+#[rstest]
+#[case::size(1e6, u64::MAX)]
+#[case::rate(1e-300, 1)]
+fn an_impossible_transfer_is_only_refused(#[case] link: f64, #[case] bytes: u64) {
+    let mut backlog = LinkBacklog::new(link, NOW);
+    assert_eq!(backlog.admit(bytes, NOW), Ok(()));
+    assert!(backlog.admit(bytes, NOW).is_err());
+}
+
 /// Guards against a body that is never admitted because the link needs long for it, and against a
 /// sender that is told to come back too early.
 #[test]
--- a/crates/lavenderhatch-relay/src/blackboard/quarantine.rs
+++ b/crates/lavenderhatch-relay/src/blackboard/quarantine.rs
@@ -71,16 +71,19 @@
     /// Takes over records of another daemon.
     pub fn merge(&self, records: impl Iterator<Item = CrashRecord>, now: Timestamp) {
         let mut ledger = self.lock();
+        let crashes = ledger.crash_count();
         let is_changed = records.fold(false, |is_changed, record| {
             ledger.merge(&record, now) | is_changed
         });
         if is_changed {
             self.publish(&ledger);
+        }
+        if ledger.crash_count() > crashes {
             self.crashed.notify_one();
         }
     }
 
-    /// Waits until there is something new that other daemons may not know. For one task at a time.
+    /// Waits until there is a crash that other daemons may not know. For one task at a time.
     pub async fn wait_for_crash(&self) {
         self.crashed.notified().await;
     }
--- a/crates/lavenderhatch-relay/src/exchange/crash_headers.rs
+++ b/crates/lavenderhatch-relay/src/exchange/crash_headers.rs
@@ -9,7 +9,9 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 use lavenderhatch_core::Timestamp;
-use lavenderhatch_decide::crash::{CRASH_RETENTION, CrashId, CrashRecord, Fingerprint};
+use lavenderhatch_decide::crash::{
+    CRASH_RETENTION, CrashId, CrashRecord, Fingerprint, MAX_CRASH_RECORDS,
+};
 
 use crate::blackboard::Quarantine;
 
@@ -18,8 +20,6 @@
 /// Records, as [`encode`] writes them, separated by [`RECORD_SEPARATOR`].
 pub(super) const CRASHES: &str = "lavenderhatch-crashes";
 
-/// Most records that a message carries, about 30 bytes each for those with one crash.
-const MAX_RECORDS: usize = 64;
 const RECORD_SEPARATOR: char = ',';
 const FIELD_SEPARATOR: char = '.';
 /// Marks the record of a request that was answered since its crashes.
@@ -60,7 +60,7 @@
 
 /// Adds the records.
 pub(super) fn write_all_crashes(headers: &mut HeaderMap, quarantine: &Quarantine, now: Timestamp) {
-    let records = quarantine.records(MAX_RECORDS);
+    let records = quarantine.records(MAX_CRASH_RECORDS);
     let records: Vec<String> = records.iter().map(|record| encode(record, now)).collect();
     if let Ok(value) = HeaderValue::from_str(&records.join(&RECORD_SEPARATOR.to_string())) {
         headers.insert(CRASHES, value);
@@ -76,7 +76,7 @@
 pub(super) fn read_crashes(headers: &HeaderMap, quarantine: &Quarantine, now: Timestamp) {
     let value = headers.get(CRASHES).and_then(|value| value.to_str().ok());
     if let Some(value) = value {
-        let records = value.split(RECORD_SEPARATOR).take(MAX_RECORDS);
+        let records = value.split(RECORD_SEPARATOR).take(MAX_CRASH_RECORDS);
         let records = records.filter_map(|text| decode(text, now));
         quarantine.merge(records, now);
     }
--- a/crates/lavenderhatch-relay/src/exchange/local_backend.rs
+++ b/crates/lavenderhatch-relay/src/exchange/local_backend.rs
@@ -92,6 +92,7 @@
     /// Dropping the future cancels the request.
     pub(crate) async fn run(&self, call: &Call) -> AttemptResult {
         let backend = self.admitting_backend(&call.service)?;
+        self.check_quarantine(call)?;
         self.check_sent_back(call, &backend)?;
         let permit = self
             .gate
@@ -101,9 +102,7 @@
         // The backend server may have started draining while the request waited, or others may have
         // crashed under the same request.
         let backend = self.serving_backend(&call.service)?;
-        if self.blackboard.quarantine.refuses(|| call.fingerprint()) {
-            return Err(Failure::quarantined());
-        }
+        self.check_quarantine(call)?;
         let now = self.clock.now();
         self.admit(&backend)?;
         let counted = CountedRequest::start(self, call, &backend, now);
@@ -142,6 +141,15 @@
         result
     }
 
+    /// Refuses a request under which backend servers have crashed.
+    fn check_quarantine(&self, call: &Call) -> Result<(), Failure> {
+        let quarantine = &self.blackboard.quarantine;
+        match quarantine.refuses(|| call.fingerprint()) {
+            true => Err(Failure::quarantined()),
+            false => Ok(()),
+        }
+    }
+
     /// Records a crash if the backend server is gone after the exchange has failed.
     ///
     /// A connection that ends does not tell a crash from a backend server that has closed it. If one
--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -171,6 +171,8 @@
 
     /// Admits a body that another daemon is going to send.
     fn admit_body(&self, bytes: u64, now: Timestamp) -> Result<(), Failure> {
+        // A larger one is refused once it arrives.
+        let bytes = bytes.min(self.max_body_bytes() as u64);
         let mut backlog = self.link_backlog.borrow_mut();
         let admitted = backlog
             .as_mut()
