Carry records of crashes on answers to calls only

After a crash, daemons of deployments with limits of accounts sent each other five times as many bytes between zones.

Cause: the answer to any message between daemons carried the records of crashes unless its sender had told the same digest. Messages on limits of accounts tell none.

--- a/crates/lavenderhatch-relay/src/exchange/peer_port.rs
+++ b/crates/lavenderhatch-relay/src/exchange/peer_port.rs
@@ -89,7 +89,9 @@
             return Ok(ReadyAnswer::new(res, request_id, None));
         }
         let is_packed = unpack(req.headers_mut());
-        let known_crashes = read_crash_digest(req.headers());
+        // Other messages, such as those on limits of accounts, do not tell what the sender knows.
+        let is_call = is_forwarded_call(req.headers());
+        let known_crashes = is_call.then(|| read_crash_digest(req.headers()));
         let guard = self.backend.blackboard.lifecycle.track_request();
         let mut res = match &guard {
             Some(_) => self.run(req).await?,
@@ -99,13 +101,13 @@
                 self.respond(Err(failure))
             }
         };
-        let (now, blackboard) = (self.backend.clock.now(), &self.backend.blackboard);
-        write_crashes(
-            res.headers_mut(),
-            &blackboard.quarantine,
-            known_crashes,
-            now,
-        );
+        if let Some(known) = known_crashes {
+            let (now, quarantine) = (
+                self.backend.clock.now(),
+                &self.backend.blackboard.quarantine,
+            );
+            write_crashes(res.headers_mut(), quarantine, known, now);
+        }
         if is_packed {
             pack(res.headers_mut());
         }
--- a/crates/lavenderhatch-relay/tests/testsuite/crashes.rs
+++ b/crates/lavenderhatch-relay/tests/testsuite/crashes.rs
@@ -81,6 +81,20 @@
     assert_eq!(send(daemon, "/safe/1"), 200);
 }
 
+/// Guards against records on the answers to all messages between daemons. Those on limits of accounts
+/// come several times a second and do not tell what their sender knows.
+#[test]
+fn answers_to_other_messages_carry_no_records() {
+    let backend = fragile();
+    let mesh = Mesh::spawn(&[&backend], &[RouteSpec::SAFE]);
+    let daemon = &mesh.daemons[0];
+    assert_eq!(send(daemon, DEADLY), 502);
+    assert_ne!(daemon.blackboard.quarantine.digest(), 0);
+    let mut peer = Caller::connect(daemon.cfg.peer_addr);
+    peer.send(&request("POST", "/lavenderhatch/quota", "", "x"));
+    assert_eq!(peer.read().unwrap().header("lavenderhatch-crashes"), None);
+}
+
 /// Guards against a request that is refused although it has crashed no server: its connections were
 /// closed without an answer by servers that go on running.
 #[rstest]
